--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.celeryusher.node
+
+internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.celeryusher.standin
+
+internal const val PLACEHOLDER: Int = 1
