Carry a caller's request through a node, its guard and a backend server

Cause: the whole path has to run before anything is built on it. Change: settings with checks, the command registry, caller endpoint, frames between nodes, guard, and the baseline reader by which a node watches the platform alone. Found on the way: a request that offers an HTTP/2 upgrade (the JDK client's default) hung, because its body channel stays open; no more than the announced length is read now, and the test sends such a request. Conclusion: thin path stands.

--- a/node/src/main/kotlin/org/celeryusher/node/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.celeryusher.node
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/control/PlatformClient.kt
@@ -0,0 +1,129 @@
+package org.celeryusher.node.control
+
+import io.ktor.client.HttpClient
+import io.ktor.client.request.get
+import io.ktor.client.request.parameter
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpStatusCode
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
+import kotlinx.io.readByteArray
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.DataCentreName
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.ServiceName
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** One entry of the platform's instance list. */
+@Serializable
+public data class ListedInstance(
+    public val instance: InstanceName,
+    public val service: ServiceName,
+    public val dataCentre: DataCentreName,
+    public val controlAddress: Address,
+    public val frameAddress: Address,
+    public val serverAddress: Address,
+    public val state: ListedState = ListedState.live,
+)
+
+/** What the platform says of an instance. */
+@Serializable
+@Suppress("ktlint:standard:enum-entry-name-case")
+public enum class ListedState { live, leaving }
+
+/** The platform's instance list at one time; it may lag behind the fleet. */
+@Serializable
+public data class InstanceList(
+    public val revision: Long,
+    public val instances: List<ListedInstance>,
+)
+
+/** What came of one read of the platform. */
+public sealed interface PlatformAnswer<out T> {
+    /** The platform gave [value]. */
+    public data class Value<T>(
+        public val value: T,
+    ) : PlatformAnswer<T>
+
+    /** Nothing newer than what the node named. */
+    public data object Unchanged : PlatformAnswer<Nothing>
+
+    /** No usable answer; [reason] tells why. */
+    public data class Unavailable(
+        public val reason: String,
+    ) : PlatformAnswer<Nothing>
+}
+
+/** Reads the platform's configuration service and instance list. */
+public class PlatformClient(
+    private val client: HttpClient,
+    private val platform: Address,
+    private val maximumBytes: Int,
+) {
+    private val format = Json { ignoreUnknownKeys = true }
+
+    /** Returns the document in force there. */
+    public suspend fun readConfiguration(): PlatformAnswer<ByteArray> =
+        read("configuration", emptyMap(), READ_TIMEOUT) { PlatformAnswer.Value(it) }
+
+    /** Waits up to [wait] for a document with a version above [version]. */
+    public suspend fun watchConfiguration(
+        version: Long,
+        wait: Duration,
+    ): PlatformAnswer<ByteArray> {
+        val parameters = mapOf("after" to version.toString(), "waitMilliseconds" to wait.inWholeMilliseconds.toString())
+        return read("configuration", parameters, wait + READ_TIMEOUT) { PlatformAnswer.Value(it) }
+    }
+
+    /** Returns the instance list. */
+    public suspend fun readInstances(): PlatformAnswer<InstanceList> =
+        read("instances", emptyMap(), READ_TIMEOUT) { bytes ->
+            try {
+                PlatformAnswer.Value(format.decodeFromString<InstanceList>(bytes.decodeToString()))
+            } catch (error: SerializationException) {
+                PlatformAnswer.Unavailable("malformed instance list: ${error.message.orEmpty().lineSequence().first()}")
+            }
+        }
+
+    private suspend fun <T> read(
+        path: String,
+        parameters: Map<String, String>,
+        timeout: Duration,
+        decode: (ByteArray) -> PlatformAnswer<T>,
+    ): PlatformAnswer<T> =
+        try {
+            withTimeout(timeout) {
+                val response = client.get("http://$platform/$path") { parameters.forEach { (name, value) -> parameter(name, value) } }
+                decodeWhole(response, decode)
+            }
+        } catch (_: TimeoutCancellationException) {
+            PlatformAnswer.Unavailable("no answer within $timeout")
+        } catch (error: CancellationException) {
+            throw error
+        } catch (error: IOException) {
+            PlatformAnswer.Unavailable(error.javaClass.simpleName)
+        }
+
+    private suspend fun <T> decodeWhole(
+        response: HttpResponse,
+        decode: (ByteArray) -> PlatformAnswer<T>,
+    ): PlatformAnswer<T> {
+        if (response.status == HttpStatusCode.NoContent) return PlatformAnswer.Unchanged
+        if (response.status != HttpStatusCode.OK) return PlatformAnswer.Unavailable("status ${response.status.value}")
+        val bytes = response.bodyAsChannel().readRemaining(maximumBytes + 1L).readByteArray()
+        if (bytes.size > maximumBytes) return PlatformAnswer.Unavailable("more than $maximumBytes bytes")
+        return decode(bytes)
+    }
+
+    private companion object {
+        val READ_TIMEOUT = 2.seconds
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/SharedResources.kt
@@ -0,0 +1,39 @@
+package org.celeryusher.node.runtime
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.java.Java
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.Dispatchers
+
+/**
+ * What several nodes of one process may share: the socket selector and the HTTP client.
+ *
+ * A node that runs alone in its process owns one; the demo and the measurements give one to all their nodes.
+ */
+public class SharedResources : AutoCloseable {
+    /** Selects over all frame sockets. */
+    public val selector: SelectorManager = SelectorManager(Dispatchers.IO)
+
+    /** The client towards backend servers, the platform and other nodes' control addresses. It never sends a request twice by itself. */
+    public val httpClient: HttpClient =
+        run {
+            System.setProperty(SEND_LIMIT_PROPERTY, "1")
+            HttpClient(Java) {
+                expectSuccess = false
+                followRedirects = false
+                engine {
+                    protocolVersion = java.net.http.HttpClient.Version.HTTP_1_1
+                }
+            }
+        }
+
+    override fun close() {
+        httpClient.close()
+        selector.close()
+    }
+
+    private companion object {
+        // The JDK's client sends a request again by itself when a pooled connection breaks; one send keeps the run status honest.
+        const val SEND_LIMIT_PROPERTY = "jdk.httpclient.redirects.retrylimit"
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
@@ -0,0 +1,116 @@
+package org.celeryusher.node.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.nonEmptyListOf
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.identity.Address
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** One fault of a settings file: where, and what is wrong, quoting the offending value. */
+public data class SettingsFault(
+    public val path: String,
+    public val message: String,
+) {
+    override fun toString(): String = "$path: $message"
+}
+
+/** Reads and checks a node's settings, before anything listens. */
+public object NodeSettingsReader {
+    private const val MINIMUM_SECRET_LENGTH = 16
+    private const val MAXIMUM_FILE_BYTES = 1_048_576L
+    private val internetProtocolNumber = Regex("""\d{1,3}(\.\d{1,3}){3}|[0-9a-fA-F:]*:[0-9a-fA-F:.]*""")
+    private val namePattern = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+    private val format = Json { prettyPrint = true }
+
+    /** Returns the settings in [file], or every fault found in it. */
+    public fun read(file: Path): Either<NonEmptyList<SettingsFault>, NodeSettings> =
+        try {
+            if (Files.size(file) > MAXIMUM_FILE_BYTES) {
+                nonEmptyListOf(SettingsFault(file.toString(), "is larger than $MAXIMUM_FILE_BYTES bytes")).left()
+            } else {
+                parse(Files.readString(file))
+            }
+        } catch (error: IOException) {
+            nonEmptyListOf(SettingsFault(file.toString(), "cannot be read: ${error.javaClass.simpleName}")).left()
+        }
+
+    /** Returns the settings in [text], or every fault found in it. */
+    public fun parse(text: String): Either<NonEmptyList<SettingsFault>, NodeSettings> =
+        try {
+            val settings = format.decodeFromString<NodeSettings>(text)
+            faultsOf(settings).toNonEmptyListOrNull()?.left() ?: settings.right()
+        } catch (error: SerializationException) {
+            nonEmptyListOf(SettingsFault("$", firstLine(error))).left()
+        }
+
+    /** Returns [settings] as the text that [parse] reads, without the secret. */
+    public fun print(settings: NodeSettings): String = format.encodeToString(NodeSettings.serializer(), settings.redacted())
+
+    private fun faultsOf(settings: NodeSettings): List<SettingsFault> =
+        nameFaults(settings) + addressFaults(settings) + numberFaults(settings) + secretFaults(settings)
+
+    private fun nameFaults(settings: NodeSettings): List<SettingsFault> =
+        listOf("instance" to settings.instance.value, "service" to settings.service.value, "dataCentre" to settings.dataCentre.value)
+            .filterNot { (_, name) -> namePattern.matches(name) }
+            .map { (field, name) -> SettingsFault("$.$field", "\"$name\" is not a name (letters, digits, '.', '_', '-', at most 63)") }
+
+    private fun addressFaults(settings: NodeSettings): List<SettingsFault> {
+        val listening =
+            listOf(
+                "addresses.callers" to settings.addresses.callers,
+                "addresses.control" to settings.addresses.control,
+                "addresses.frames" to settings.addresses.frames,
+                "addresses.admin" to settings.addresses.admin,
+            )
+        val called = listOf("backendServer" to settings.backendServer, "platform" to settings.platform)
+        val seeds = settings.seeds.mapIndexed { index, seed -> "seeds[$index]" to seed }
+        val notNumbers =
+            (listening + called + seeds)
+                .filterNot { (_, address) -> internetProtocolNumber.matches(address.host) }
+                .map { (field, address) -> SettingsFault("$.$field", "\"$address\" does not name its host by IP number") }
+        return notNumbers + sharedPortFaults(listening)
+    }
+
+    private fun sharedPortFaults(listening: List<Pair<String, Address>>): List<SettingsFault> =
+        listening
+            .groupBy { (_, address) -> address.port }
+            .values
+            .filter { it.size > 1 }
+            .map { same -> SettingsFault("$.${same[1].first}", "port ${same[1].second.port} is also the port of ${same[0].first}") }
+
+    private fun numberFaults(settings: NodeSettings): List<SettingsFault> =
+        listOf(
+            "limits.maximumHeaderBytes" to settings.limits.maximumHeaderBytes.toLong(),
+            "limits.maximumBodyBytes" to settings.limits.maximumBodyBytes.toLong(),
+            "limits.maximumAnswerBytes" to settings.limits.maximumAnswerBytes.toLong(),
+            "limits.maximumMessageBytes" to settings.limits.maximumMessageBytes.toLong(),
+            "limits.drainLimitMilliseconds" to settings.limits.drainLimitMilliseconds,
+            "control.gossipIntervalMilliseconds" to settings.control.gossipIntervalMilliseconds,
+            "control.floorWaitMilliseconds" to settings.control.floorWaitMilliseconds,
+            "control.healthIntervalMilliseconds" to settings.control.healthIntervalMilliseconds,
+            "control.watchMilliseconds" to settings.control.watchMilliseconds,
+        ).filter { (_, number) -> number <= 0 }
+            .map { (field, number) -> SettingsFault("$.$field", "$number is not above 0") }
+
+    private fun secretFaults(settings: NodeSettings): List<SettingsFault> {
+        val length = settings.fleetSecret?.length ?: return emptyList()
+        return if (length >= MINIMUM_SECRET_LENGTH) {
+            emptyList()
+        } else {
+            listOf(SettingsFault("$.fleetSecret", "has $length characters; at least $MINIMUM_SECRET_LENGTH are needed"))
+        }
+    }
+
+    private fun firstLine(error: SerializationException): String =
+        error.message
+            .orEmpty()
+            .lineSequence()
+            .first()
+}
--- /dev/null
+++ b/node/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
@@ -0,0 +1,1 @@
+org.celeryusher.node.command.NodeCommand
--- /dev/null
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/HttpFake.kt
@@ -0,0 +1,38 @@
+package org.celeryusher.node.runtime
+
+import com.sun.net.httpserver.HttpExchange
+import com.sun.net.httpserver.HttpServer
+import org.celeryusher.kernel.identity.Address
+import java.net.InetSocketAddress
+import java.util.concurrent.Executors
+
+/** An HTTP server on a free loopback port that answers each request by [answer]: a small fake for tests. */
+class HttpFake(
+    private val answer: (HttpExchange) -> Unit,
+) : AutoCloseable {
+    private val executor = Executors.newCachedThreadPool { task -> Thread(task).apply { isDaemon = true } }
+    private val server =
+        HttpServer.create(InetSocketAddress("127.0.0.1", 0), 0).apply {
+            createContext("/") { exchange -> exchange.use(answer) }
+            executor = this@HttpFake.executor
+            start()
+        }
+
+    val address: Address = Address("127.0.0.1", server.address.port)
+
+    override fun close() {
+        server.stop(0)
+        executor.shutdownNow()
+    }
+}
+
+/** Answers [status] with [body] as text. */
+fun HttpExchange.reply(
+    status: Int,
+    body: String,
+) {
+    val bytes = body.encodeToByteArray()
+    requestBody.readAllBytes()
+    sendResponseHeaders(status, if (bytes.isEmpty()) -1 else bytes.size.toLong())
+    responseBody.write(bytes)
+}
