Validate configuration documents whole, and explain settings

Cause: a document was refused with its first fault only, and contradictions or dangling references were accepted.

The content hash is taken over canonical JSON as written, so key order, whitespace and the code's own default values do not change it.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationSnapshot.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationSnapshot.kt
@@ -14,6 +14,8 @@
 public class ConfigurationSnapshot internal constructor(
     public val document: ConfigurationDocument,
     public val digest: ConfigurationDigest,
+    /** The document as canonical JSON, whose hash is [digest]'s: parse it again for an equal snapshot, or send it to another node. */
+    public val canonicalText: String,
 ) {
     private val servicesByName = document.services.associateBy(ServiceDeclaration::name)
     private val routesByName = document.routes.associateBy(RouteDeclaration::name)
@@ -33,16 +35,31 @@
      * exception, the less specific first.
      */
     public fun effectiveSettings(place: FleetPlace): FleetSettings {
-        val withRoute =
-            place.route
-                ?.let(routesByName::get)
-                ?.settings
-                ?.applyTo(document.defaults) ?: document.defaults
-        return document.exceptions
+        val withRoute = routeOf(place)?.settings?.applyTo(document.defaults) ?: document.defaults
+        return exceptionsAt(place).fold(withRoute) { settings, exception -> exception.change.applyTo(settings) }
+    }
+
+    /** Returns the settings of [effectiveSettings] one by one, each with the part of the document that gave it its value. */
+    public fun explain(place: FleetPlace): List<ExplainedSetting> {
+        val origins = mutableMapOf<String, SettingOrigin>()
+        routeOf(place)?.let { route ->
+            SettingLimits.valuesOf(route.settings).keys.associateWithTo(origins) { SettingOrigin.Route(route.name) }
+        }
+        for (exception in exceptionsAt(place)) {
+            val origin = SettingOrigin.Exception(exception.name, exception.reason)
+            SettingLimits.valuesOf(exception.change).keys.associateWithTo(origins) { origin }
+        }
+        return SettingLimits.valuesOf(effectiveSettings(place)).map { (name, value) ->
+            ExplainedSetting(name, value.content, origins[name] ?: SettingOrigin.Default)
+        }
+    }
+
+    private fun routeOf(place: FleetPlace): RouteDeclaration? = place.route?.let(routesByName::get)
+
+    private fun exceptionsAt(place: FleetPlace): List<FleetException> =
+        document.exceptions
             .filter { place.isWithin(it.scope) }
             .sortedBy { it.scope.specificity }
-            .fold(withRoute) { settings, exception -> exception.change.applyTo(settings) }
-    }
 }
 
 /** One place of the fleet for which settings are looked up; [route] is null for settings that belong to no route. */
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentRules.kt
@@ -0,0 +1,196 @@
+package org.celeryusher.kernel.configuration
+
+import kotlinx.serialization.json.JsonPrimitive
+
+/** Checks the rules that go beyond the shape of the document: ranges, names, references and contradictions. */
+internal class DocumentRules(
+    private val draft: DocumentDraft,
+    private val faults: FaultCollector,
+) {
+    private val serviceNames = draft.services?.mapNotNullTo(mutableSetOf()) { it.name }
+    private val rankNames = draft.ranks?.mapNotNullTo(mutableSetOf()) { it.name }
+    private val routeNames = draft.routes?.mapNotNullTo(mutableSetOf()) { it.name }
+
+    /** Reports every rule that the draft breaks. */
+    fun check() {
+        checkVersion()
+        draft.defaults?.let { SettingLimits.check(SettingLimits.valuesOf(it), JsonPath.ROOT.member("defaults"), faults) }
+        checkEntries("ranks", draft.ranks, ::checkRank)
+        checkGuaranteedShares()
+        checkEntries("services", draft.services, ::checkService)
+        checkEntries("routes", draft.routes, ::checkRoute)
+        checkSamePrefix()
+        checkEntries("exceptions", draft.exceptions, ::checkException)
+        checkContradictions()
+    }
+
+    private fun checkVersion() {
+        val version = draft.version ?: return
+        if (version < 1) faults.add(JsonPath.ROOT.member("version"), JsonPrimitive(version), "must be 1 or more")
+    }
+
+    private fun <T : Any> checkEntries(
+        list: String,
+        entries: List<DraftEntry<T>>?,
+        checkValue: (JsonPath, T) -> Unit,
+    ) {
+        if (entries == null) return
+        if (entries.isEmpty() && list != "exceptions") faults.addQuoted(JsonPath.ROOT.member(list), "[]", "must have at least one entry")
+        val names = mutableSetOf<String>()
+        for (entry in entries) {
+            entry.name?.let { checkName(entry.path.member("name"), it) }
+            if (entry.name != null && !names.add(entry.name)) {
+                faults.add(entry.path.member("name"), entry.name, "stands twice in ${JsonPath.ROOT.member(list)}")
+            }
+            entry.value?.let { checkValue(entry.path, it) }
+        }
+    }
+
+    private fun checkName(
+        path: JsonPath,
+        name: String,
+    ) {
+        if (!NAME.matches(name)) {
+            faults.add(path, name, "must be 1 to 63 letters, digits, dots, underscores or hyphens, and start with a letter or digit")
+        }
+    }
+
+    private fun checkRank(
+        path: JsonPath,
+        rank: RankDeclaration,
+    ) {
+        if (rank.guaranteedShare !in 0.0..1.0) {
+            faults.add(path.member("guaranteedShare"), JsonPrimitive(rank.guaranteedShare), "must lie from 0 to 1")
+        }
+    }
+
+    private fun checkGuaranteedShares() {
+        val sum = draft.ranks?.sumOf { it.value?.guaranteedShare ?: 0.0 } ?: return
+        if (sum > 1.0 + SHARE_TOLERANCE) {
+            faults.add(JsonPath.ROOT.member("ranks"), JsonPrimitive(sum), "the guaranteed shares add up to more than 1")
+        }
+    }
+
+    private fun checkService(
+        path: JsonPath,
+        service: ServiceDeclaration,
+    ) {
+        if (service.slots !in 1..MAXIMUM_SLOTS) {
+            faults.add(path.member("slots"), JsonPrimitive(service.slots), "must lie from 1 to $MAXIMUM_SLOTS")
+        }
+        if (service.connections !in 1..MAXIMUM_CONNECTIONS) {
+            faults.add(path.member("connections"), JsonPrimitive(service.connections), "must lie from 1 to $MAXIMUM_CONNECTIONS")
+        } else if (service.connections < service.slots) {
+            faults.add(path.member("connections"), JsonPrimitive(service.connections), "must not be less than the ${service.slots} slots")
+        }
+    }
+
+    private fun checkRoute(
+        path: JsonPath,
+        route: RouteDeclaration,
+    ) {
+        if (route.method !in METHODS) faults.add(path.member("method"), route.method, "must be one of ${METHODS.joinToString()}")
+        prefixFault(route.pathPrefix)?.let { faults.add(path.member("pathPrefix"), route.pathPrefix, it) }
+        checkReference(path.member("service"), route.service.value, serviceNames, "service")
+        checkReference(path.member("rank"), route.rank.value, rankNames, "rank")
+        SettingLimits.check(SettingLimits.valuesOf(route.settings), path.member("settings"), faults)
+    }
+
+    private fun prefixFault(prefix: String): String? =
+        when {
+            prefix.length > MAXIMUM_PREFIX_CHARACTERS -> "must be at most $MAXIMUM_PREFIX_CHARACTERS characters"
+            !PATH_PREFIX.matches(prefix) -> "must be / or segments such as /invoices/open, without an end slash, query or spaces"
+            prefix.split('/').any { it == "." || it == ".." } -> "must not have the segments . or .."
+            prefix == NODE_PATH || prefix.startsWith("$NODE_PATH/") -> "must not begin with $NODE_PATH, which the nodes keep for themselves"
+            else -> null
+        }
+
+    private fun checkSamePrefix() {
+        val seen = mutableMapOf<Pair<String, String>, String?>()
+        for (entry in draft.routes.orEmpty()) {
+            val route = entry.value ?: continue
+            val key = route.method to route.pathPrefix
+            if (key in seen) {
+                val path = entry.path.member("pathPrefix")
+                faults.add(path, route.pathPrefix, "the route ${seen[key]} already matches ${route.method} with this prefix")
+            } else {
+                seen[key] = entry.name
+            }
+        }
+    }
+
+    private fun checkException(
+        path: JsonPath,
+        exception: FleetException,
+    ) {
+        checkReason(path.member("reason"), exception.reason)
+        checkScope(path.member("scope"), exception.scope)
+        val change = SettingLimits.valuesOf(exception.change)
+        if (change.isEmpty()) {
+            faults.addQuoted(
+                path.member("change"),
+                "{}",
+                "must set at least one of ${SettingLimits.NAMES.joinToString()}",
+            )
+        }
+        SettingLimits.check(change, path.member("change"), faults)
+    }
+
+    private fun checkReason(
+        path: JsonPath,
+        reason: String,
+    ) {
+        if (reason.isBlank()) faults.add(path, reason, "must say why the exception is made")
+        if (reason.length > MAXIMUM_REASON_CHARACTERS) faults.add(path, reason, "must be at most $MAXIMUM_REASON_CHARACTERS characters")
+    }
+
+    private fun checkScope(
+        path: JsonPath,
+        scope: ExceptionScope,
+    ) {
+        if (scope == ExceptionScope()) {
+            faults.addQuoted(
+                path,
+                "{}",
+                "must have at least one of dataCentre, service, instance, route; change the defaults for the whole fleet",
+            )
+        }
+        scope.dataCentre?.let { checkName(path.member("dataCentre"), it.value) }
+        scope.instance?.let { checkName(path.member("instance"), it.value) }
+        scope.service?.let { checkReference(path.member("service"), it.value, serviceNames, "service") }
+        scope.route?.let { checkReference(path.member("route"), it.value, routeNames, "route") }
+    }
+
+    private fun checkReference(
+        path: JsonPath,
+        name: String,
+        declared: Set<String>?,
+        kind: String,
+    ) {
+        if (declared != null && name !in declared) faults.add(path, name, "is not a $kind of this document")
+    }
+
+    /** Reports settings that two exceptions of the same scope both set: of equal specificity, neither would go before the other. */
+    private fun checkContradictions() {
+        val setBy = mutableMapOf<Pair<ExceptionScope, String>, String>()
+        for (entry in draft.exceptions.orEmpty()) {
+            val exception = entry.value ?: continue
+            for ((name, value) in SettingLimits.valuesOf(exception.change)) {
+                val earlier = setBy.putIfAbsent(exception.scope to name, exception.name) ?: continue
+                faults.add(entry.path.member("change").member(name), value, "the exception $earlier sets this for the same scope")
+            }
+        }
+    }
+
+    private companion object {
+        const val SHARE_TOLERANCE = 1e-9
+        const val MAXIMUM_SLOTS = 10_000
+        const val MAXIMUM_CONNECTIONS = 1_000_000
+        const val MAXIMUM_PREFIX_CHARACTERS = 256
+        const val MAXIMUM_REASON_CHARACTERS = 1_000
+        const val NODE_PATH = "/-"
+        val METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+        val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+        val PATH_PREFIX = Regex("/|(/[A-Za-z0-9._~%:@-]+)+")
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/JsonTextScan.kt
@@ -0,0 +1,99 @@
+package org.celeryusher.kernel.configuration
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * What the JSON library does not report about a text: how deep it nests, and which object members stand twice.
+ *
+ * It does not check syntax. On a text that is not JSON the result is without meaning, but the scan ends.
+ */
+internal class JsonTextScan private constructor(
+    val maximumDepth: Int,
+    val duplicates: List<DuplicateMember>,
+) {
+    /** A member [name] that stands a second time in one object, at [path]. */
+    data class DuplicateMember(
+        val path: JsonPath,
+        val name: String,
+    )
+
+    /** The open objects and arrays around the current character. */
+    private class Container(
+        val path: JsonPath,
+        val isObject: Boolean,
+    ) {
+        private val names = mutableSetOf<String>()
+        private var currentName: String? = null
+        private var index = 0
+
+        val childPath: JsonPath get() = currentName?.let(path::member) ?: if (isObject) path else path.element(index)
+        val expectsName: Boolean get() = isObject && currentName == null
+
+        fun enterMember(name: String): Boolean {
+            currentName = name
+            return names.add(name)
+        }
+
+        fun enterNext() {
+            currentName = null
+            index++
+        }
+    }
+
+    private class Scanner(
+        private val text: String,
+        private val depthLimit: Int,
+    ) {
+        private val open = ArrayDeque<Container>()
+        private val duplicates = mutableListOf<DuplicateMember>()
+        private var maximumDepth = 0
+        private var position = 0
+
+        fun scan(): JsonTextScan {
+            while (position < text.length && maximumDepth <= depthLimit) {
+                when (text[position]) {
+                    '"' -> scanString()
+                    '{' -> enter(isObject = true)
+                    '[' -> enter(isObject = false)
+                    '}', ']' -> open.removeLastOrNull()
+                    ',' -> open.lastOrNull()?.enterNext()
+                }
+                position++
+            }
+            return JsonTextScan(maximumDepth, duplicates)
+        }
+
+        private fun enter(isObject: Boolean) {
+            open.addLast(Container(open.lastOrNull()?.childPath ?: JsonPath.ROOT, isObject))
+            maximumDepth = maxOf(maximumDepth, open.size)
+        }
+
+        private fun scanString() {
+            val start = position++
+            while (position < text.length && text[position] != '"') {
+                position += if (text[position] == '\\') 2 else 1
+            }
+            val container = open.lastOrNull() ?: return
+            if (container.expectsName && position < text.length) {
+                val name = unescaped(text.substring(start, position + 1))
+                if (!container.enterMember(name)) duplicates += DuplicateMember(container.childPath, name)
+            }
+        }
+
+        private fun unescaped(literal: String): String =
+            try {
+                Json.decodeFromString<String>(literal)
+            } catch (_: SerializationException) {
+                literal
+            }
+    }
+
+    companion object {
+        /** Scans [text], and stops early once it nests deeper than [depthLimit]. */
+        fun of(
+            text: String,
+            depthLimit: Int,
+        ): JsonTextScan = Scanner(text, depthLimit).scan()
+    }
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/SettingLimits.kt
@@ -0,0 +1,59 @@
+package org.celeryusher.kernel.configuration
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.double
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+
+/** The smallest and largest value of each setting, and the settings as name and value. */
+internal object SettingLimits {
+    private const val HOUR_MILLISECONDS = 3_600_000.0
+    private const val DAY_MILLISECONDS = 24 * HOUR_MILLISECONDS
+    private val formatWithDefaults = Json { encodeDefaults = true }
+
+    /** The permitted range of each setting, by its name. */
+    val RANGES: Map<String, ClosedFloatingPointRange<Double>> =
+        mapOf(
+            "deadlineMilliseconds" to 1.0..HOUR_MILLISECONDS,
+            "maximumAttempts" to 1.0..10.0,
+            "retryBudgetShare" to 0.0..1.0,
+            "queuedCallsPerSlot" to 1.0..1_000.0,
+            "drainLimitMilliseconds" to 1.0..HOUR_MILLISECONDS,
+            "slowStartMilliseconds" to 0.0..HOUR_MILLISECONDS,
+            "ejectionCapShare" to 0.0..1.0,
+            "quarantineMilliseconds" to 0.0..DAY_MILLISECONDS,
+        )
+
+    /** The names of all settings, in the order of their declaration. */
+    @OptIn(ExperimentalSerializationApi::class)
+    val NAMES: List<String> = FleetSettings.serializer().descriptor.let { (0 until it.elementsCount).map(it::getElementName) }
+
+    /** Returns every setting of [settings] by its name. */
+    fun valuesOf(settings: FleetSettings): Map<String, JsonPrimitive> =
+        primitives(formatWithDefaults.encodeToJsonElement(FleetSettings.serializer(), settings).jsonObject)
+
+    /** Returns the settings that [change] sets, by their names. */
+    fun valuesOf(change: SettingsChange): Map<String, JsonPrimitive> =
+        primitives(Json.encodeToJsonElement(SettingsChange.serializer(), change).jsonObject)
+
+    /** Reports each of [values], members of the object at [path], that lies outside its range. */
+    fun check(
+        values: Map<String, JsonPrimitive>,
+        path: JsonPath,
+        faults: FaultCollector,
+    ) {
+        for ((name, value) in values) {
+            val range = RANGES[name] ?: continue
+            if (value.double !in range) {
+                faults.add(path.member(name), value, "must lie from ${plain(range.start)} to ${plain(range.endInclusive)}")
+            }
+        }
+    }
+
+    private fun primitives(values: JsonObject): Map<String, JsonPrimitive> = values.mapValues { (_, value) -> value.jsonPrimitive }
+
+    private fun plain(bound: Double): String = bound.toLong().toString()
+}
