Decide admission to a backend server by rank and guaranteed share

The guard needs one place that says which call starts, waits or is refused. AdmissionController takes arrive, finished, cancel, drain, policy change, server start and tick, each with the present time, and returns Start, Enqueued and Refuse with the inputs of the decision. Ranks get slots by urgency and a guaranteed share kept as a token bucket in service time; the queue has reserved and shared places; calls that cannot meet their deadline are refused; calls that run alone take turns with the rest.

Tables of cases cover each event. Floods are not measured yet.

--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
@@ -0,0 +1,304 @@
+package org.celeryusher.kernel.admission
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/**
+ * Decides which calls run on one backend server, which wait, and which are refused.
+ *
+ * Each event returns the decisions that it causes, which may concern other calls than the one in the event. The caller
+ * passes the present time, carries the decisions out, and synchronises: the controller has no lock, thread or clock. An event costs the
+ * number of ranks plus the logarithm of the queue's length for each call that it decides on.
+ *
+ * A moment earlier than one passed before counts as the latest one.
+ */
+public class AdmissionController<Key : Any>(
+    policy: AdmissionPolicy,
+    now: Moment,
+) {
+    private var policy = policy
+    private val limit = ConcurrencyLimit(policy)
+    private val ranks = RankStates<Key>(policy)
+    private val calls = HashMap<Key, AdmissionCall<Key>>()
+    private val aloneLine = WaitingLine<Key>()
+    private val exclusiveTurn = ExclusiveTurn()
+    private var running = 0
+    private var capacity = limit.at(now)
+    private var lastEventAt = now
+    private var sequence = 0L
+    private var drainBegan: Moment? = null
+    private var decisions = ArrayList<AdmissionDecision<Key>>()
+
+    /** Whether the server has been drained: it takes no new work and runs none. */
+    public val isDrained: Boolean get() = drainBegan != null && running == 0
+
+    /** When running work is to be cut off in a drain, or null when the server does not drain. */
+    public val drainEndsAt: Moment? get() = drainBegan?.plus(policy.drainLimit)
+
+    /**
+     * A call has arrived.
+     *
+     * @throws IllegalArgumentException if its key belongs to a call that waits or runs.
+     */
+    public fun arrive(
+        request: AdmissionRequest<Key>,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> =
+        event(now) { moment ->
+            require(request.key !in calls) { "the call ${request.key} is already admitted" }
+            sequence += 1
+            val call = AdmissionCall(request, ranks.at(request.rankPosition), moment, sequence)
+            startWaiting(moment)
+            when {
+                drainBegan != null -> refuse(call, RefusalCause.DRAINING, Duration.ZERO)
+                request.deadline <= moment -> refuse(call, RefusalCause.DEADLINE_UNREACHABLE, Duration.ZERO)
+                request.runAlone -> enqueueAlone(call)
+                hasFreeSlot() -> start(call, StartReason.FREE_SLOT, moment)
+                else -> enqueue(call, moment)
+            }
+        }
+
+    /** The started call [key] has ended after [serviceTime] on the backend server. Ignored when no such call runs. */
+    public fun finished(
+        key: Key,
+        serviceTime: Duration,
+        outcome: ServiceOutcome,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> =
+        event(now) { moment ->
+            val call = calls[key]
+            if (call?.startedAt != null) {
+                calls.remove(key)
+                running -= 1
+                call.rank.finish(call, serviceTime, capacity)
+                if (call.request.runAlone) exclusiveTurn.finish(moment)
+                measure(call, serviceTime, outcome, moment)
+            }
+        }
+
+    /** The caller of [key] no longer wants the answer: refused when it waits; ignored when it runs or is not known. */
+    public fun cancel(
+        key: Key,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> =
+        event(now) {
+            val call = calls[key]
+            if (call != null && call.startedAt == null) withdraw(call, RefusalCause.CANCELLED)
+        }
+
+    /** The backend server begins to leave: all queued calls are handed back, new ones are refused, and running ones go on. */
+    public fun drain(now: Moment): List<AdmissionDecision<Key>> =
+        event(now) { moment ->
+            if (drainBegan == null) drainBegan = moment
+            for (rank in ranks.all) withdrawAll(rank.line)
+            withdrawAll(aloneLine)
+        }
+
+    /** Another policy is in force; queued calls that no longer have a place in the queue are refused. */
+    public fun changePolicy(
+        changed: AdmissionPolicy,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> =
+        event(now) { moment ->
+            policy = changed
+            limit.changePolicy(changed)
+            ranks.changePolicy(changed)
+            capacity = limit.at(moment)
+            while (true) {
+                withdraw(ranks.surplus() ?: break, RefusalCause.QUEUE_FULL)
+            }
+        }
+
+    /** The backend server has just started: the limit rises within the slow-start time. Ends a drain. */
+    public fun serverStarted(now: Moment): List<AdmissionDecision<Key>> =
+        event(now) { moment ->
+            drainBegan = null
+            limit.serverStarted(moment)
+            capacity = limit.at(moment)
+        }
+
+    /** Time has passed; see [nextTick]. */
+    public fun tick(now: Moment): List<AdmissionDecision<Key>> = event(now) {}
+
+    /** Returns when [tick] is next due if no other event comes before, or null when it is not. */
+    public fun nextTick(): Moment? {
+        val dues =
+            ranks.all.mapNotNull { rank -> rank.line.firstDeadline()?.let { latestStart(it, lastEventAt) } } +
+                listOfNotNull(
+                    aloneLine.firstDeadline()?.request?.deadline,
+                    exclusiveTurn.nextChange().takeIf { aloneLine.size > 0 },
+                    nextRampStep().takeIf { ranks.queued > 0 },
+                )
+        return dues.minOrNull()?.let { maxOf(it, lastEventAt) }
+    }
+
+    /** Returns the load to report to proxies. */
+    public fun load(now: Moment): GuardLoad {
+        val moment = maxOf(now, lastEventAt)
+        val rankLoads = if (drainBegan == null) ranks.all.map { rankLoad(it, moment) } else emptyList()
+        return GuardLoad(limit.at(moment), running, ranks.queued + aloneLine.size, rankLoads)
+    }
+
+    private fun rankLoad(
+        rank: RankState<Key>,
+        now: Moment,
+    ): RankLoad {
+        val wait = if (hasFreeSlot()) Duration.ZERO else expectedWait(rank, now)
+        return RankLoad(wait.inWholeMilliseconds, ranks.hasPlaceFor(rank) || ranks.displacedBy(rank) != null)
+    }
+
+    private inline fun event(
+        now: Moment,
+        apply: (Moment) -> Unit,
+    ): List<AdmissionDecision<Key>> {
+        val moment = maxOf(now, lastEventAt)
+        ranks.advance(moment - lastEventAt, capacity, moment)
+        lastEventAt = moment
+        capacity = limit.at(moment)
+        expire(moment)
+        apply(moment)
+        startWaiting(moment)
+        if (decisions.isEmpty()) return emptyList()
+        return decisions.also { decisions = ArrayList() }
+    }
+
+    private fun hasFreeSlot(): Boolean = running < capacity && !exclusiveTurn.holdsOthersBack
+
+    private fun startWaiting(now: Moment) {
+        startAlone(now)
+        while (hasFreeSlot()) {
+            val (rank, reason) = ranks.next() ?: return
+            val call = rank.line.firstArrival() ?: return
+            start(call, reason, now)
+        }
+    }
+
+    private fun startAlone(now: Moment) {
+        val call = aloneLine.firstArrival() ?: return exclusiveTurn.abandon()
+        if (!exclusiveTurn.mayStart(running, ranks.queued, now)) return
+        exclusiveTurn.start()
+        start(call, StartReason.ALONE, now)
+    }
+
+    private fun start(
+        call: AdmissionCall<Key>,
+        reason: StartReason,
+        now: Moment,
+    ) {
+        decisions += AdmissionDecision.Start(call.request.key, inputs(call.rank), now - call.arrivedAt, reason)
+        lineOf(call).remove(call)
+        calls[call.request.key] = call
+        running += 1
+        call.rank.start(call, reason != StartReason.GUARANTEED_SHARE, capacity, now)
+    }
+
+    private fun enqueue(
+        call: AdmissionCall<Key>,
+        now: Moment,
+    ) {
+        val rank = call.rank
+        val wait = expectedWait(rank, now)
+        if (now + wait > latestStart(call, now)) return refuse(call, RefusalCause.WAIT_OUTLASTS_DEADLINE, wait)
+        if (!ranks.hasPlaceFor(rank)) {
+            val displaced = ranks.displacedBy(rank) ?: return refuse(call, RefusalCause.QUEUE_FULL, wait)
+            withdraw(displaced, RefusalCause.DISPLACED)
+        }
+        decisions += AdmissionDecision.Enqueued(call.request.key, inputs(rank), wait)
+        addWaiting(call)
+    }
+
+    private fun enqueueAlone(call: AdmissionCall<Key>) {
+        val wait =
+            call.rank.serviceTime
+                .expected(lastEventAt)
+                .toDurationNanoseconds() * (aloneLine.size + 1)
+        if (aloneLine.size >= policy.slots) return refuse(call, RefusalCause.QUEUE_FULL, wait)
+        decisions += AdmissionDecision.Enqueued(call.request.key, inputs(call.rank), wait)
+        addWaiting(call)
+    }
+
+    private fun addWaiting(call: AdmissionCall<Key>) {
+        calls[call.request.key] = call
+        lineOf(call).add(call)
+    }
+
+    private fun expire(now: Moment) {
+        for (rank in ranks.all) {
+            while (true) {
+                val call = rank.line.firstDeadline() ?: break
+                if (latestStart(call, now) > now) break
+                withdraw(call, RefusalCause.DEADLINE_UNREACHABLE)
+            }
+        }
+        while (true) {
+            val call = aloneLine.firstDeadline() ?: break
+            if (call.request.deadline > now) break
+            withdraw(call, RefusalCause.DEADLINE_UNREACHABLE)
+        }
+    }
+
+    private fun withdrawAll(line: WaitingLine<Key>) {
+        while (true) {
+            withdraw(line.firstArrival() ?: break, RefusalCause.DRAINING)
+        }
+    }
+
+    private fun withdraw(
+        call: AdmissionCall<Key>,
+        cause: RefusalCause,
+    ) {
+        lineOf(call).remove(call)
+        calls.remove(call.request.key)
+        refuse(call, cause, if (drainBegan == null) expectedWait(call.rank, lastEventAt) else Duration.ZERO)
+    }
+
+    private fun refuse(
+        call: AdmissionCall<Key>,
+        cause: RefusalCause,
+        retryAfter: Duration,
+    ) {
+        decisions += AdmissionDecision.Refuse(call.request.key, inputs(call.rank), cause, retryAfter)
+    }
+
+    private fun measure(
+        call: AdmissionCall<Key>,
+        serviceTime: Duration,
+        outcome: ServiceOutcome,
+        now: Moment,
+    ) {
+        val estimate = call.rank.serviceTime
+        when (outcome) {
+            ServiceOutcome.OK -> limit.recordRatio(estimate.record(serviceTime, now), now)
+            ServiceOutcome.FAILED ->
+                if (serviceTime.inWholeNanoseconds > estimate.expected(now)) limit.recordRatio(estimate.record(serviceTime, now), now)
+            ServiceOutcome.SHED -> limit.recordShed(now)
+        }
+        capacity = limit.at(now)
+    }
+
+    private fun lineOf(call: AdmissionCall<Key>): WaitingLine<Key> = if (call.request.runAlone) aloneLine else call.rank.line
+
+    private fun expectedWait(
+        rank: RankState<Key>,
+        now: Moment,
+    ): Duration = ranks.expectedWait(rank, capacity, now).toDurationNanoseconds()
+
+    private fun latestStart(
+        call: AdmissionCall<Key>,
+        now: Moment,
+    ): Moment =
+        call.request.deadline -
+            call.rank.serviceTime
+                .optimistic(now)
+                .toDurationNanoseconds()
+
+    private fun nextRampStep(): Moment? {
+        val end = limit.rampEndsAt()
+        if (lastEventAt >= end) return null
+        return lastEventAt + (policy.slowStart.inWholeNanoseconds / policy.slots).nanoseconds
+    }
+
+    private fun inputs(rank: RankState<Key>): AdmissionInputs =
+        AdmissionInputs(rank.position, running, capacity, rank.line.size, ranks.queued + aloneLine.size)
+}
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
@@ -0,0 +1,26 @@
+package org.celeryusher.kernel.admission
+
+import kotlinx.serialization.Serializable
+
+/** The exact load of one backend server as its guard knows it; travels on answers to proxies. */
+@Serializable
+public data class GuardLoad(
+    /** How many calls may run at a time now: the declared slots, or fewer. */
+    public val limit: Int,
+    public val running: Int,
+    public val queued: Int,
+    /** One entry for each rank, the most urgent first; empty while the guard drains. */
+    public val ranks: List<RankLoad>,
+) {
+    /** Returns whether the guard would queue or start a call of the rank at [rankPosition] that allows for the estimated wait. */
+    public fun accepts(rankPosition: Int): Boolean = ranks.getOrElse(rankPosition) { ranks.lastOrNull() }?.accepting ?: false
+}
+
+/** The part of a [GuardLoad] that concerns one rank. */
+@Serializable
+public data class RankLoad(
+    /** How long a call that arrives now would wait for its start. */
+    public val estimatedWaitMilliseconds: Long,
+    /** Whether the queue has a place for the rank. */
+    public val accepting: Boolean,
+)
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/ServiceTimeEstimate.kt
@@ -0,0 +1,77 @@
+package org.celeryusher.kernel.admission
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.math.abs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.nanoseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The measured service time of one rank: a short-term mean with its deviation, and a long-term mean as the baseline.
+ *
+ * The mean and the deviation are smoothed as TCP smooths its round-trip time (RFC 6298). Without new samples both fade,
+ * so that a rank which an old estimate keeps from starting is measured again.
+ */
+internal class ServiceTimeEstimate {
+    private var samples = 0
+    private var mean = 0.0
+    private var deviation = 0.0
+    private var baseline = 0.0
+    private var lastSampleAt = Moment.DISTANT_PAST
+
+    /** Returns the expected service time in nanoseconds, 0 when nothing is known. */
+    fun expected(now: Moment): Double = if (samples == 0) 0.0 else mean * freshness(now)
+
+    /** Returns a service time, in nanoseconds, which most calls take at least; 0 when nothing is known. */
+    fun optimistic(now: Moment): Double = if (samples == 0) 0.0 else (mean - deviation).coerceAtLeast(0.0) * freshness(now)
+
+    /** Takes a measured [serviceTime] in and returns how many times the long-term mean it is, 1 while that is being learnt. */
+    fun record(
+        serviceTime: Duration,
+        now: Moment,
+    ): Double {
+        val sample = serviceTime.inWholeNanoseconds.toDouble()
+        val weight = maxOf(SHORT_WEIGHT, 1.0 / (samples + 1))
+        val error = sample - mean
+        deviation += weight * (abs(error) - deviation)
+        mean += weight * error
+        if (samples == 0) deviation = 0.0
+        val ratio = if (samples < LEARNING_SAMPLES || baseline == 0.0) 1.0 else sample / baseline
+        updateBaseline(sample, now)
+        samples += 1
+        lastSampleAt = now
+        return ratio
+    }
+
+    private fun updateBaseline(
+        sample: Double,
+        now: Moment,
+    ) {
+        val weight =
+            if (samples < LEARNING_SAMPLES) {
+                1.0 / (samples + 1)
+            } else {
+                ((now - lastSampleAt) / baselineMemory).coerceAtMost(SHORT_WEIGHT)
+            }
+        baseline += weight * (sample - baseline)
+        if (mean * FAST_RECOVERY_RATIO < baseline) baseline *= FAST_RECOVERY_FACTOR
+    }
+
+    private fun freshness(now: Moment): Double {
+        val age = now - lastSampleAt
+        return if (age <= freshFor) 1.0 else 1.0 / (1.0 + (age - freshFor) / freshFor)
+    }
+
+    private companion object {
+        const val SHORT_WEIGHT = 0.1
+        const val LEARNING_SAMPLES = 50
+        const val FAST_RECOVERY_RATIO = 2.0
+        const val FAST_RECOVERY_FACTOR = 0.95
+        val baselineMemory = 1.minutes
+        val freshFor = 1.seconds
+    }
+}
+
+/** Returns a duration of this many nanoseconds; one that is not finite becomes infinite. */
+internal fun Double.toDurationNanoseconds(): Duration = if (isFinite()) toLong().nanoseconds else Duration.INFINITE
--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/admission/AdmissionControllerTest.kt
@@ -0,0 +1,157 @@
+package org.celeryusher.kernel.admission
+
+import org.celeryusher.kernel.configuration.FleetSettings
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+class AdmissionControllerTest {
+    private var controller = AdmissionController<String>(policyOf(0.3, 0.3, slots = 1), at(0))
+
+    @Test
+    fun oneSlotIsGivenByUrgencyWithinShares() =
+        checkSteps(
+            { arrive("a", 1, 0) } to "start a FREE_SLOT",
+            { arrive("b", 1, 1) } to "enqueue b",
+            { arrive("c", 0, 2) } to "enqueue c",
+            { arrive("late", 0, 3, deadline = 3) } to "refuse late DEADLINE_UNREACHABLE",
+            { finish("a", 10) } to "start c GUARANTEED_SHARE",
+            { finish("unknown", 11) } to "",
+            { finish("c", 20) } to "start b URGENCY",
+            { finish("b", 30) } to "",
+        )
+
+    @Test
+    fun cancelledAndExpiredCallsNeverStart() =
+        checkSteps(
+            { arrive("a", 0, 0) } to "start a FREE_SLOT",
+            { arrive("b", 0, 1) } to "enqueue b",
+            { arrive("c", 0, 2, deadline = 50) } to "enqueue c",
+            { controller.cancel("b", at(3)) } to "refuse b CANCELLED",
+            { controller.cancel("a", at(4)) } to "",
+            { controller.tick(at(49)) } to "",
+            { controller.tick(at(50)) } to "refuse c DEADLINE_UNREACHABLE",
+            { finish("a", 60) } to "",
+        )
+
+    @Test
+    fun drainHandsBackQueuedWorkAndLetsRunningWorkEnd() {
+        checkSteps(
+            { arrive("a", 0, 0) } to "start a FREE_SLOT",
+            { arrive("b", 1, 1) } to "enqueue b",
+            { arrive("c", 1, 1, runAlone = true) } to "enqueue c",
+            { controller.drain(at(2)) } to "refuse b DRAINING, refuse c DRAINING",
+            { arrive("d", 0, 3) } to "refuse d DRAINING",
+        )
+        assertEquals(at(10_002), controller.drainEndsAt)
+        assertEquals(emptyList(), controller.load(at(3)).ranks)
+        assertTrue(!controller.isDrained)
+        checkSteps({ finish("a", 60) } to "")
+        assertTrue(controller.isDrained)
+    }
+
+    @Test
+    fun aCallThatRunsAloneWaitsForAnEmptyServerAndHoldsOthersBack() {
+        controller = AdmissionController(policyOf(0.5, 0.5, slots = 2), at(0))
+        checkSteps(
+            { arrive("a", 0, 0) } to "start a FREE_SLOT",
+            { arrive("suspect", 1, 1, runAlone = true) } to "enqueue suspect",
+            { arrive("b", 0, 2) } to "enqueue b",
+            { finish("a", 10) } to "start suspect ALONE",
+            { arrive("second", 1, 11, runAlone = true) } to "enqueue second",
+            { finish("suspect", 21) } to "start b GUARANTEED_SHARE",
+            { arrive("c", 0, 22) } to "start c FREE_SLOT",
+            { arrive("d", 0, 23) } to "enqueue d",
+            { finish("b", 30) } to "start d URGENCY",
+            { finish("c", 102) } to "",
+            { finish("d", 103) } to "start second ALONE",
+        )
+    }
+
+    @Test
+    fun aLongCallStopsTheServerForACallThatRunsAloneOnlyForABoundedTime() {
+        controller = AdmissionController(policyOf(0.5, 0.5, slots = 2), at(0))
+        checkSteps(
+            { arrive("long", 0, 0) } to "start long FREE_SLOT",
+            { arrive("suspect", 1, 0, runAlone = true, deadline = 9_000) } to "enqueue suspect",
+            { arrive("b", 0, 1) } to "enqueue b",
+            { controller.tick(at(999)) } to "",
+            { controller.tick(at(1_000)) } to "start b GUARANTEED_SHARE",
+            { finish("b", 1_100) } to "",
+            { arrive("c", 0, 4_999, deadline = 9_000) } to "start c FREE_SLOT",
+            { arrive("d", 0, 5_000, deadline = 9_000) } to "enqueue d",
+            { finish("c", 5_001) } to "",
+            { finish("long", 5_002) } to "start suspect ALONE",
+        )
+    }
+
+    @Test
+    fun theQueueKeepsPlacesForEachRankAndGivesSharedPlacesToTheMoreUrgent() {
+        controller = AdmissionController(policyOf(0.5, 0.5, slots = 1, settings = FleetSettings(queuedCallsPerSlot = 4)), at(0))
+        checkSteps(
+            { arrive("run", 1, 0) } to "start run FREE_SLOT",
+            { arrive("b1", 1, 1) } to "enqueue b1",
+            { arrive("b2", 1, 2) } to "enqueue b2",
+            { arrive("b3", 1, 3) } to "enqueue b3",
+            { arrive("b4", 1, 4) } to "refuse b4 QUEUE_FULL",
+            { arrive("a1", 0, 5) } to "enqueue a1",
+            { arrive("a2", 0, 6) } to "refuse b3 DISPLACED, enqueue a2",
+            { arrive("a3", 0, 7) } to "refuse b2 DISPLACED, enqueue a3",
+            { arrive("a4", 0, 8) } to "refuse a4 QUEUE_FULL",
+        )
+        val load = controller.load(at(9))
+        assertEquals(listOf(false, false), load.ranks.map(RankLoad::accepting))
+        assertEquals(4, load.queued)
+    }
+
+    @Test
+    fun aStartedServerTakesMoreAndMoreCallsWithinTheSlowStart() {
+        controller = AdmissionController(policyOf(1.0, slots = 5, settings = FleetSettings(slowStartMilliseconds = 400)), at(0))
+        controller.serverStarted(at(0))
+        checkSteps(
+            { arrive("a", 0, 0) } to "start a FREE_SLOT",
+            { arrive("b", 0, 0) } to "enqueue b",
+            { controller.tick(at(99)) } to "",
+            { controller.tick(at(100)) } to "start b GUARANTEED_SHARE",
+        )
+        assertEquals(listOf(2, 4, 5, 5), listOf(199L, 300L, 400L, 9_000L).map { controller.load(at(it)).limit })
+    }
+
+    @Test
+    fun aChangedPolicyRefusesCallsThatLostTheirPlaceAndUsesNewSlots() {
+        checkSteps(
+            { arrive("a", 1, 0) } to "start a FREE_SLOT",
+            { arrive("b", 1, 1) } to "enqueue b",
+            { arrive("c", 0, 1) } to "enqueue c",
+            { arrive("d", 0, 1) } to "enqueue d",
+            { controller.changePolicy(policyOf(0.5, slots = 2, settings = FleetSettings(queuedCallsPerSlot = 1)), at(2)) } to
+                "refuse d QUEUE_FULL, start b GUARANTEED_SHARE",
+        )
+    }
+
+    private fun arrive(
+        key: String,
+        rank: Int,
+        now: Long,
+        deadline: Long = 2_000,
+        runAlone: Boolean = false,
+    ) = controller.arrive(AdmissionRequest(key, rank, at(deadline), runAlone), at(now))
+
+    private fun finish(
+        key: String,
+        now: Long,
+    ) = controller.finished(key, 10.milliseconds, ServiceOutcome.OK, at(now))
+
+    private fun checkSteps(vararg steps: Pair<() -> List<AdmissionDecision<String>>, String>) =
+        steps.forEachIndexed { index, (event, expected) ->
+            assertEquals(expected, event().joinToString { describe(it) }, "step $index")
+        }
+
+    private fun describe(decision: AdmissionDecision<String>): String =
+        when (decision) {
+            is AdmissionDecision.Start -> "start ${decision.key} ${decision.reason}"
+            is AdmissionDecision.Enqueued -> "enqueue ${decision.key}"
+            is AdmissionDecision.Refuse -> "refuse ${decision.key} ${decision.cause}"
+        }
+}
