--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/RetryPolicy.kt
@@ -0,0 +1,100 @@
+package org.celeryusher.kernel.execution
+
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.error.Resend
+import org.celeryusher.kernel.time.Moment
+
+/** One call at the proxy that forwards it, as far as retries depend on it. */
+public data class CallProgress(
+    public val idempotent: Boolean,
+    /** Attempts made so far, the one that has just ended included. */
+    public val attempts: Int,
+    public val maximumAttempts: Int,
+    public val deadline: DeadlineBudget,
+    /** Endpoints not tried yet. */
+    public val untriedEndpoints: Int,
+    /** The request carries `Celeryusher-Retry`. */
+    public val requestIsRetry: Boolean,
+    /** The answer carries `Celeryusher-Retried`. */
+    public val answerIsRetried: Boolean,
+)
+
+/** Decides whether a call is tried again. Only idempotent work, or work proven not run, ever is. */
+public object RetryPolicy {
+    /**
+     * Returns what to do after the attempt of [call] that ended with [outcome], and takes a retry from [budget] when it is one.
+     *
+     * Work handed back by a server or node that leaves costs no budget: nothing was spent on it, and a drain is not overload.
+     */
+    public fun decide(
+        outcome: Outcome,
+        call: CallProgress,
+        budget: RetryBudget,
+        now: Moment,
+    ): RetryDecision {
+        val reason = reasonToAnswer(outcome, call, now) ?: budgetRefusal(outcome, budget)
+        return if (reason == null) RetryDecision.Retry(call.attempts + 1) else answer(outcome, call, reason)
+    }
+
+    private fun reasonToAnswer(
+        outcome: Outcome,
+        call: CallProgress,
+        now: Moment,
+    ): AnswerReason? =
+        outcomeRefusal(outcome, call.idempotent) ?: when {
+            call.requestIsRetry -> AnswerReason.RETRIED_ABOVE
+            call.answerIsRetried -> AnswerReason.RETRIED_BELOW
+            call.attempts >= call.maximumAttempts -> AnswerReason.ATTEMPTS_SPENT
+            call.untriedEndpoints == 0 -> AnswerReason.NO_OTHER_ENDPOINT
+            call.deadline.hasPassed(now) -> AnswerReason.DEADLINE
+            else -> null
+        }
+
+    private fun outcomeRefusal(
+        outcome: Outcome,
+        idempotent: Boolean,
+    ): AnswerReason? =
+        when (outcome) {
+            is Outcome.Ran -> AnswerReason.RAN
+            is Outcome.NotRun -> AnswerReason.NOT_RETRYABLE.takeUnless { isRetryableElsewhere(outcome.kind) }
+            is Outcome.Unknown ->
+                when {
+                    !idempotent -> AnswerReason.MAY_HAVE_RUN
+                    isRetryableElsewhere(outcome.kind) -> null
+                    else -> AnswerReason.NOT_RETRYABLE
+                }
+        }
+
+    private fun isRetryableElsewhere(kind: ErrorKind): Boolean = kind.resend != Resend.NEVER && kind !in answeredToCaller
+
+    private fun budgetRefusal(
+        outcome: Outcome,
+        budget: RetryBudget,
+    ): AnswerReason? {
+        val handedBack = outcome is Outcome.NotRun && outcome.kind in handedBackKinds
+        return AnswerReason.BUDGET_SPENT.takeUnless { handedBack || budget.tryRetry() }
+    }
+
+    private fun answer(
+        outcome: Outcome,
+        call: CallProgress,
+        reason: AnswerReason,
+    ): RetryDecision {
+        val retriesAreOver = call.attempts > 1 || call.answerIsRetried || reason == AnswerReason.BUDGET_SPENT
+        return RetryDecision.Answer(outcome, reason, markRetried = retriesAreOver)
+    }
+
+    private val handedBackKinds = setOf(ErrorKind.DRAINING, ErrorKind.NODE_STOPPING)
+
+    /** The caller has gone, or only the caller or the ticket's owner can do something about it. */
+    private val answeredToCaller =
+        setOf(
+            ErrorKind.CANCELLED_BEFORE_START,
+            ErrorKind.CANCELLED_WHILE_RUNNING,
+            ErrorKind.TICKET_IN_PROGRESS,
+            ErrorKind.TICKET_OWNER_GONE,
+            ErrorKind.TICKET_OWNER_UNREACHABLE,
+            ErrorKind.TICKET_EXPIRED,
+            ErrorKind.NO_CONFIGURATION,
+        )
+}
