--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointStatistics.kt
@@ -0,0 +1,107 @@
+package org.celeryusher.kernel.routing
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What one node knows of one endpoint from its own calls, the guard's counts and reports. Immutable; [LoadBook] keeps the current value. */
+public data class EndpointStatistics(
+    /** Calls that this node has sent and that are not answered. */
+    public val outstanding: Int = 0,
+    public val guardLoad: GuardLoad? = null,
+    public val guardLoadAt: Moment = Moment.DISTANT_PAST,
+    /** [outstanding] when [guardLoad] arrived, which counts those calls too. */
+    public val outstandingAtGuardLoad: Int = 0,
+    public val reported: ReportedLoad? = null,
+    /** The moving average of the latency of answered calls. */
+    public val latency: Duration? = null,
+    public val latencyAt: Moment = Moment.DISTANT_PAST,
+    public val consecutiveFailures: Int = 0,
+    public val ejections: Int = 0,
+    public val ejectedUntil: Moment = Moment.DISTANT_PAST,
+    /** When the endpoint began to serve, or came back from an ejection; slow start counts from here. */
+    public val servingSince: Moment = Moment.DISTANT_PAST,
+) {
+    /** Returns whether the endpoint is ejected as an outlier at [now]. */
+    public fun isEjected(now: Moment): Boolean = now < ejectedUntil
+
+    /** Returns the share of its full traffic that the endpoint gets at [now], rising linearly over [slowStart]. */
+    public fun slowStartShare(
+        slowStart: Duration,
+        now: Moment,
+    ): Double {
+        val age = now - servingSince
+        if (age >= slowStart || !slowStart.isPositive()) return 1.0
+        return (age / slowStart).coerceIn(MINIMUM_SLOW_START_SHARE, 1.0)
+    }
+
+    internal fun sent(): EndpointStatistics = copy(outstanding = outstanding + 1)
+
+    internal fun answered(
+        result: CallResult,
+        guardLoad: GuardLoad?,
+        now: Moment,
+    ): EndpointStatistics {
+        val left = (outstanding - 1).coerceAtLeast(0)
+        val counted = copy(outstanding = left).withGuardLoad(guardLoad, now)
+        return when (result) {
+            is CallResult.Served -> counted.copy(latency = averaged(result.latency), latencyAt = now, consecutiveFailures = 0)
+            is CallResult.Refused -> counted.copy(consecutiveFailures = 0)
+            is CallResult.Failed -> counted.failed(now)
+            is CallResult.Abandoned -> counted
+        }
+    }
+
+    private fun withGuardLoad(
+        load: GuardLoad?,
+        now: Moment,
+    ): EndpointStatistics = if (load == null) this else copy(guardLoad = load, guardLoadAt = now, outstandingAtGuardLoad = outstanding)
+
+    private fun averaged(sample: Duration): Duration = latency?.let { it * (1 - LATENCY_WEIGHT) + sample * LATENCY_WEIGHT } ?: sample
+
+    private fun failed(now: Moment): EndpointStatistics {
+        val failures = consecutiveFailures + 1
+        if (failures < FAILURES_TO_EJECT || isEjected(now)) return copy(consecutiveFailures = failures)
+        val recovered = now - ejectedUntil > EJECTIONS_FORGOTTEN_AFTER
+        val count = if (recovered) 1 else ejections + 1
+        val until = now + minOf(FIRST_EJECTION * (1 shl minOf(count - 1, MAXIMUM_DOUBLINGS)), MAXIMUM_EJECTION)
+        return copy(consecutiveFailures = 0, ejections = count, ejectedUntil = until, servingSince = until)
+    }
+
+    internal companion object {
+        private const val FAILURES_TO_EJECT = 3
+        private const val MAXIMUM_DOUBLINGS = 10
+        private const val LATENCY_WEIGHT = 0.2
+        private const val MINIMUM_SLOW_START_SHARE = 0.1
+        private val FIRST_EJECTION = 1.seconds
+        private val MAXIMUM_EJECTION = 30.seconds
+        private val EJECTIONS_FORGOTTEN_AFTER = 60.seconds
+        internal val LATENCY_TIME_CONSTANT: Duration = 2.seconds
+        internal val GUARD_LOAD_TIME_CONSTANT: Duration = 500.milliseconds
+        internal val REPORT_TIME_CONSTANT: Duration = 2.seconds
+
+        internal fun freshness(
+            age: Duration,
+            timeConstant: Duration,
+        ): Double = exp(-(age.coerceAtLeast(Duration.ZERO) / timeConstant))
+    }
+}
+
+/** How a call to an endpoint ended, as far as the choice of endpoints depends on it. */
+public sealed interface CallResult {
+    /** The backend server answered with a status below 500. */
+    public data class Served(
+        public val latency: Duration,
+    ) : CallResult
+
+    /** The guard or server refused because of load, drain or policy: it is well, only busy. */
+    public data object Refused : CallResult
+
+    /** Broken connection, timeout, torn answer, or a status from 500: counts toward ejection. */
+    public data object Failed : CallResult
+
+    /** The caller cancelled: says nothing about the endpoint. */
+    public data object Abandoned : CallResult
+}
