--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
@@ -31,6 +31,10 @@
         return faults.toFaultsOrNull()?.left() ?: checkNotNull(snapshot) { "no snapshot and no fault" }.right()
     }
 
+    /** Returns the version that the document in [bytes] states, also when the document is faulty, or null when there is none to read. */
+    public fun versionOrNull(bytes: ByteArray): Long? =
+        (treeOrNull(bytes, MAXIMUM_DOCUMENT_BYTES, FaultCollector()) as? JsonObject)?.let { DocumentDraft.of(it).version }
+
     private fun treeOrNull(
         bytes: ByteArray,
         maximumBytes: Int,
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/ByteBudget.kt
@@ -0,0 +1,36 @@
+package org.celeryusher.kernel.distribution
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** A token bucket of bytes that may go into debt by one transfer, so that a transfer larger than the burst can be sent at all. */
+internal class ByteBudget(
+    private val bytesPerSecond: Int,
+    private val burstBytes: Int,
+) {
+    private var level = burstBytes.toDouble()
+    private var filledAt: Moment? = null
+
+    /** Takes [bytes] off, whatever is left. */
+    fun spend(
+        bytes: Int,
+        now: Moment,
+    ) {
+        fill(now)
+        level -= bytes
+    }
+
+    /** Returns the time until something is left again, zero when something is. */
+    fun waitAt(now: Moment): Duration {
+        fill(now)
+        return if (level > 0) Duration.ZERO else ((1 - level) / bytesPerSecond).seconds
+    }
+
+    private fun fill(now: Moment) {
+        val elapsed = filledAt?.let { now - it } ?: Duration.ZERO
+        level = minOf(burstBytes.toDouble(), level + elapsed.toDouble(DurationUnit.SECONDS) * bytesPerSecond)
+        filledAt = now
+    }
+}
