Judge endpoints by the wait that guards state for the rank

Cause: admission reports its exact load with a wait for each rank, and a queue of less urgent calls does not delay an urgent one.

Change: the choice takes admission's GuardLoad in place of a second type, and uses the stated wait of the call's rank while it is fresh.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
@@ -29,7 +29,8 @@
         val ejected = ejectedOf(route, now)
         val usable = usableOf(route, tried, ejected)
         if (usable.isEmpty()) return EndpointChoice.NoneLeft
-        val draw = Draw(route, usualLatency(route.endpoints), now, random)
+        val view = CostView(route.service.slots, route.rankPosition, usualLatency(route.endpoints))
+        val draw = Draw(route, view, now, random)
         val (own, others) = usable.partition { it.dataCentre == distances.own }
         val best = if (own.isEmpty()) draw.bestOfTwo(others) else draw.ownUnlessQueued(own, others)
         val reason = if (own.isEmpty() && usable.size > 1) ChoiceReason.NONE_IN_OWN_DATA_CENTRE else best.reason
@@ -77,8 +78,8 @@
     )
 
     private inner class Draw(
-        private val route: ResolvedRoute,
-        private val usualLatency: Duration?,
+        route: ResolvedRoute,
+        private val view: CostView,
         private val now: Moment,
         private val random: Random,
     ) {
@@ -103,7 +104,7 @@
             val first = drawOne(members)
             val rest = members - first
             if (rest.isEmpty()) return Best(candidate(first), emptyList(), ChoiceReason.ONLY_CANDIDATE)
-            val pair = listOf(candidate(first), candidate(drawOne(rest))).sortedBy { it.cost.total }
+            val pair = listOf(candidate(first), candidate(drawOne(rest))).sortedWith(compareBy({ it.cost.total }, { it.cost.load }))
             return Best(pair.first(), pair.drop(1), ChoiceReason.SOONER_OF_TWO)
         }
 
@@ -118,10 +119,8 @@
             return members.last()
         }
 
-        private fun candidate(member: Member): Candidate {
-            val slots = route.service.slots
-            return Candidate(member, EndpointCost.of(loads[member.instance], slots, usualLatency, wayTo(member), now))
-        }
+        private fun candidate(member: Member): Candidate =
+            Candidate(member, EndpointCost.of(loads[member.instance], view, wayTo(member), now))
     }
 
     private companion object {
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointCost.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointCost.kt
@@ -35,16 +35,51 @@
 
         internal fun of(
             statistics: EndpointStatistics,
-            slots: Int,
-            usualLatency: Duration?,
+            view: CostView,
             way: Duration,
             now: Moment,
         ): EndpointCost {
-            val service = usualLatency ?: DEFAULT_SERVICE_TIME
-            val usableSlots = minOf(slots, statistics.guardLoad?.slots ?: slots).coerceAtLeast(1)
-            val load = believedLoad(statistics, usableSlots, service + way, now)
-            val modelled = service * ((load + 1 - usableSlots).coerceAtLeast(0.0) / usableSlots)
-            return EndpointCost(load, maxOf(modelled, observedExcess(statistics, service, way, now)), service, way)
+            val service = view.usualLatency ?: DEFAULT_SERVICE_TIME
+            val trust = countFreshness(statistics, now)
+            val reported = believedReport(statistics, view.slots, service + way, now) * (1 - trust)
+            val waiting = waitByCount(statistics, view, service) * trust + waitByOwnView(statistics, view, service, reported) * (1 - trust)
+            val load = statistics.outstanding + othersByCount(statistics) * trust + reported
+            return EndpointCost(load, maxOf(waiting, observedExcess(statistics, service, way, now)), service, way)
+        }
+
+        private fun countFreshness(
+            statistics: EndpointStatistics,
+            now: Moment,
+        ): Double = if (statistics.guardLoad == null) 0.0 else freshness(now - statistics.guardLoadAt, GUARD_LOAD_TIME_CONSTANT)
+
+        private fun othersByCount(statistics: EndpointStatistics): Int {
+            val counted = statistics.guardLoad?.let { it.running + it.queued } ?: 0
+            return (counted - statistics.outstandingAtGuardLoad).coerceAtLeast(0)
+        }
+
+        /** The wait that the guard stated for the rank, plus that of calls sent since. */
+        private fun waitByCount(
+            statistics: EndpointStatistics,
+            view: CostView,
+            service: Duration,
+        ): Duration {
+            val count = statistics.guardLoad ?: return Duration.ZERO
+            if (!count.accepts(view.rankPosition)) return service * UNREADY_LOAD_PER_SLOT
+            val sentSince = (statistics.outstanding - statistics.outstandingAtGuardLoad).coerceAtLeast(0)
+            val limit = count.limit.coerceAtLeast(1)
+            if (count.queued == 0 && count.running + sentSince < limit) return Duration.ZERO
+            val stated = count.ranks.getOrElse(view.rankPosition) { count.ranks.last() }.estimatedWaitMilliseconds
+            return stated.milliseconds + service * (sentSince.toDouble() / limit)
+        }
+
+        private fun waitByOwnView(
+            statistics: EndpointStatistics,
+            view: CostView,
+            service: Duration,
+            reported: Double,
+        ): Duration {
+            val slots = view.slots.coerceAtLeast(1)
+            return service * ((statistics.outstanding + reported + 1 - slots).coerceAtLeast(0.0) / slots)
         }
 
         /** The time by which answers came late, whatever load was claimed; fades with its age so that the endpoint is tried again. */
@@ -59,20 +94,7 @@
             return (atServer - service) * freshness(now - statistics.latencyAt, LATENCY_TIME_CONSTANT)
         }
 
-        /** Own calls, plus those of others by the guard's last exact count; as that ages, the report takes its place. */
-        private fun believedLoad(
-            statistics: EndpointStatistics,
-            slots: Int,
-            usualLatency: Duration,
-            now: Moment,
-        ): Double {
-            val countFreshness = statistics.guardLoad?.let { freshness(now - statistics.guardLoadAt, GUARD_LOAD_TIME_CONSTANT) } ?: 0.0
-            val counted = statistics.guardLoad?.let { it.inSystem - statistics.outstandingAtGuardLoad } ?: 0
-            val others = counted.coerceAtLeast(0) * countFreshness
-            val reported = believedReport(statistics, slots, usualLatency, now) * (1 - countFreshness)
-            return statistics.outstanding + others + reported
-        }
-
+        /** The load that the report claims, unless an answer since then contradicts it; fades with the report's age. */
         private fun believedReport(
             statistics: EndpointStatistics,
             slots: Int,
@@ -88,3 +110,11 @@
         }
     }
 }
+
+/** What all endpoints of a route are judged by. */
+internal class CostView(
+    val slots: Int,
+    val rankPosition: Int,
+    /** The usual latency of the service without the way, or null when no answer has come yet. */
+    val usualLatency: Duration?,
+)
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointStatistics.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointStatistics.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.kernel.routing
 
+import org.celeryusher.kernel.admission.GuardLoad
 import org.celeryusher.kernel.time.Moment
 import kotlin.math.exp
 import kotlin.time.Duration
