Bound the queue by the longest line and serve owed ranks by deadline

Now a full queue takes its place from the line that its rank's share would need the longest to work off, each rank keeps some places, and among the ranks that are owed service the earliest deadline goes first.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
@@ -106,7 +106,7 @@
             ranks.changePolicy(changed)
             capacity = limit.at(moment)
             while (true) {
-                withdraw(ranks.surplus() ?: break, RefusalCause.QUEUE_FULL)
+                withdraw(ranks.surplus(moment) ?: break, RefusalCause.QUEUE_FULL)
             }
         }
 
@@ -145,7 +145,7 @@
         now: Moment,
     ): RankLoad {
         val wait = if (hasFreeSlot()) Duration.ZERO else expectedWait(rank, now)
-        return RankLoad(wait.inWholeMilliseconds, ranks.hasPlaceFor(rank) || ranks.displacedBy(rank) != null)
+        return RankLoad(wait.inWholeMilliseconds, ranks.hasPlaceFor(rank, now))
     }
 
     private inline fun event(
@@ -200,10 +200,8 @@
         val rank = call.rank
         val wait = expectedWait(rank, now)
         if (now + wait > latestStart(call, now)) return refuse(call, RefusalCause.WAIT_OUTLASTS_DEADLINE, wait)
-        if (!ranks.hasPlaceFor(rank)) {
-            val displaced = ranks.displacedBy(rank) ?: return refuse(call, RefusalCause.QUEUE_FULL, wait)
-            withdraw(displaced, RefusalCause.DISPLACED)
-        }
+        if (!ranks.hasPlaceFor(rank, now)) return refuse(call, RefusalCause.QUEUE_FULL, wait)
+        ranks.displacedBy(rank, now)?.let { withdraw(it, RefusalCause.DISPLACED) }
         decisions += AdmissionDecision.Enqueued(call.request.key, inputs(rank), wait)
         addWaiting(call)
     }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionDecision.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionDecision.kt
@@ -70,7 +70,7 @@
     /** The queue has no place for its rank. */
     QUEUE_FULL(ErrorKind.OVERLOADED),
 
-    /** A more urgent call took its place in the shared part of the queue. */
+    /** The queue is full and its rank's part is the longest: a call of another rank took its place. */
     DISPLACED(ErrorKind.OVERLOADED),
 
     /** The estimated wait at arrival outlasts the deadline. */
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionPolicy.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionPolicy.kt
@@ -13,8 +13,8 @@
     public val ranks: List<RankPolicy>,
     public val slots: Int,
     public val connections: Int,
-    /** Places of the queue that any rank may take beyond its reserved places, the more urgent rank first. */
-    public val sharedQueuePlaces: Int,
+    /** How many calls may wait over all ranks; a rank that uses less than an equal part always finds a place. */
+    public val queuePlaces: Int,
     public val drainLimit: Duration,
     public val slowStart: Duration,
 ) {
@@ -26,14 +26,8 @@
 
     public companion object {
         private const val SHARE_ROUNDING = 1e-6
-        private const val RESERVED_QUEUE_SHARE = 0.5
 
-        /**
-         * Returns the policy for a backend server of [service] under [settings].
-         *
-         * Half of the queue is reserved by guaranteed share, at least an equal part of a quarter of the queue for each rank; the rest is
-         * shared.
-         */
+        /** Returns the policy for a backend server of [service] under [settings], with the ranks of [snapshot]. */
         public fun of(
             snapshot: ConfigurationSnapshot,
             settings: FleetSettings,
@@ -45,23 +39,15 @@
             ranks: List<RankDeclaration>,
             settings: FleetSettings,
             service: ServiceDeclaration,
-        ): AdmissionPolicy {
-            val places = settings.queuedCallsPerSlot * service.slots
-            val reservable = places * RESERVED_QUEUE_SHARE
-            val floor = if (places == 0) 0 else (reservable / 2 / ranks.size).toInt().coerceAtLeast(1)
-            val rankPolicies =
-                ranks.map { rank ->
-                    RankPolicy(rank.name, rank.guaranteedShare, (reservable * rank.guaranteedShare).toInt().coerceAtLeast(floor))
-                }
-            return AdmissionPolicy(
-                ranks = rankPolicies,
+        ): AdmissionPolicy =
+            AdmissionPolicy(
+                ranks = ranks.map { RankPolicy(it.name, it.guaranteedShare) },
                 slots = service.slots,
                 connections = service.connections,
-                sharedQueuePlaces = (places - rankPolicies.sumOf(RankPolicy::reservedQueuePlaces)).coerceAtLeast(0),
+                queuePlaces = settings.queuedCallsPerSlot * service.slots,
                 drainLimit = settings.drainLimitMilliseconds.milliseconds,
                 slowStart = settings.slowStartMilliseconds.milliseconds,
             )
-        }
     }
 }
 
@@ -70,6 +56,4 @@
     public val name: RankName,
     /** The share of the slots, 0 to 1. */
     public val guaranteedShare: Double,
-    /** The places of the queue that no other rank may take. */
-    public val reservedQueuePlaces: Int,
 )
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankState.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankState.kt
@@ -31,9 +31,6 @@
     /** Returns the slots that the rank keeps out of [capacity]. */
     fun guaranteedSlots(capacity: Int): Double = policy.guaranteedShare * capacity
 
-    /** Returns the calls that wait in places shared with other ranks. */
-    fun sharedPlacesTaken(): Int = (line.size - policy.reservedQueuePlaces).coerceAtLeast(0)
-
     /** Returns the debt in slot-nanoseconds, 0 when there is none. */
     fun debt(): Double = (-balance).coerceAtLeast(0.0)
 
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankStates.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankStates.kt
@@ -8,7 +8,10 @@
     policy: AdmissionPolicy,
 ) {
     private var states: List<RankState<Key>> = policy.ranks.mapIndexed { position, rank -> RankState(rank, position) }
-    private var sharedPlaces = policy.sharedQueuePlaces
+    private var places = policy.queuePlaces
+
+    /** The places that each rank keeps whatever the others queue. */
+    private val keptPlaces: Int get() = places / (2 * states.size)
 
     val all: List<RankState<Key>> get() = states
 
@@ -26,35 +29,61 @@
         for (state in states) state.advance(elapsed, capacity, now)
     }
 
-    /** Returns the rank whose first call starts next and why, or null when no call waits. */
+    /**
+     * Returns the rank whose first call starts next and why, or null when no call waits.
+     *
+     * Among the ranks that are owed service, the earliest deadline goes first: each of them stays within its share, so urgency
+     * would only make the less urgent of them late. When none is owed service, the most urgent rank goes first.
+     */
     fun next(): Pair<RankState<Key>, StartReason>? {
-        val owed = states.firstOrNull { it.line.size > 0 && it.isOwedService }
-        if (owed != null) return owed to StartReason.GUARANTEED_SHARE
-        val urgent = states.firstOrNull { it.line.size > 0 } ?: return null
-        return urgent to StartReason.URGENCY
+        var owed: RankState<Key>? = null
+        var earliest = Moment.FAR_FUTURE
+        var urgent: RankState<Key>? = null
+        for (state in states) {
+            val first = state.line.firstArrival() ?: continue
+            if (urgent == null) urgent = state
+            if (state.isOwedService && (owed == null || first.request.deadline < earliest)) {
+                owed = state
+                earliest = first.request.deadline
+            }
+        }
+        return owed?.let { it to StartReason.GUARANTEED_SHARE } ?: urgent?.let { it to StartReason.URGENCY }
     }
 
-    /** Returns whether a call of [rank] can be queued without displacing another. */
-    fun hasPlaceFor(rank: RankState<Key>): Boolean =
-        rank.line.size < rank.policy.reservedQueuePlaces || states.sumOf { it.sharedPlacesTaken() } < sharedPlaces
+    /** Returns whether a call of [rank] can be queued, if need be in the place of another. */
+    fun hasPlaceFor(
+        rank: RankState<Key>,
+        now: Moment,
+    ): Boolean = queued < places || displacedBy(rank, now) != null
 
-    /** Returns the call that gives up its shared place to a call of [rank]: the latest of the least urgent rank that holds one, or null. */
-    fun displacedBy(rank: RankState<Key>): AdmissionCall<Key>? =
-        states
-            .lastOrNull { it.position > rank.position && it.sharedPlacesTaken() > 0 }
-            ?.line
-            ?.lastArrival()
+    /**
+     * Returns the call that gives up its place to a call of [rank], or null when a place is free or none may be taken.
+     *
+     * It is the latest call of the longest queue, measured by the time that its rank's guaranteed share takes to work it off. A queue no
+     * longer than [keptPlaces] gives up nothing.
+     */
+    fun displacedBy(
+        rank: RankState<Key>,
+        now: Moment,
+    ): AdmissionCall<Key>? {
+        if (queued < places) return null
+        val longest = longest(now) ?: return null
+        if (longest === rank) return null
+        val yields = rank.line.size < keptPlaces || byLength(now).compare(longest, rank) > 0
+        return if (yields) longest.line.lastArrival() else null
+    }
 
     /** Returns a call that waits beyond the places that a changed policy allows, or null. */
-    fun surplus(): AdmissionCall<Key>? =
-        if (states.sumOf { it.sharedPlacesTaken() } <= sharedPlaces) {
-            null
-        } else {
-            states
-                .last { it.sharedPlacesTaken() > 0 }
-                .line
-                .lastArrival()
-        }
+    fun surplus(now: Moment): AdmissionCall<Key>? {
+        if (queued <= places) return null
+        val longest = longest(now) ?: states.last { it.line.size > 0 }
+        return longest.line.lastArrival()
+    }
+
+    private fun longest(now: Moment): RankState<Key>? = states.filter { it.line.size > keptPlaces }.maxWithOrNull(byLength(now))
+
+    private fun byLength(now: Moment): Comparator<RankState<Key>> =
+        compareBy({ it.line.size * it.serviceTime.expected(now) / it.policy.guaranteedShare }, { it.line.size }, { it.position })
 
     /**
      * Returns how many nanoseconds a call of [rank] that arrives now is expected to wait behind those already queued.
@@ -94,7 +123,7 @@
                 state.position = position
                 state
             }
-        sharedPlaces = policy.sharedQueuePlaces
+        places = policy.queuePlaces
         before.values.filter { it.policy.name !in kept }.forEach { moveQueue(it, states.last()) }
     }
 
