--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankStates.kt
@@ -0,0 +1,145 @@
+package org.celeryusher.kernel.admission
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.time.Duration
+
+/** The ranks of one backend server, the most urgent first, with their queue places and expected waits. */
+internal class RankStates<Key : Any>(
+    policy: AdmissionPolicy,
+) {
+    private var states: List<RankState<Key>> = policy.ranks.mapIndexed { position, rank -> RankState(rank, position) }
+    private var places = policy.queuePlaces
+
+    /** The places that each rank keeps whatever the others queue. */
+    private val keptPlaces: Int get() = places / (2 * states.size)
+
+    val all: List<RankState<Key>> get() = states
+
+    /** How many calls wait, over all ranks. */
+    val queued: Int get() = states.sumOf { it.line.size }
+
+    /** Returns the rank at [position], the last one for a position beyond it. */
+    fun at(position: Int): RankState<Key> = states[position.coerceIn(states.indices)]
+
+    fun advance(
+        elapsed: Duration,
+        capacity: Int,
+        now: Moment,
+    ) {
+        for (state in states) state.advance(elapsed, capacity, now)
+    }
+
+    /**
+     * Returns the rank whose first call starts next and why, or null when no call waits.
+     *
+     * Among the ranks that are owed service, the earliest deadline goes first: each of them stays within its share, so urgency
+     * would only make the less urgent of them late. When none is owed service, the most urgent rank goes first.
+     */
+    fun next(): Pair<RankState<Key>, StartReason>? {
+        var owed: RankState<Key>? = null
+        var earliest = Moment.FAR_FUTURE
+        var urgent: RankState<Key>? = null
+        for (state in states) {
+            val first = state.line.firstArrival() ?: continue
+            if (urgent == null) urgent = state
+            if (state.isOwedService && (owed == null || first.request.deadline < earliest)) {
+                owed = state
+                earliest = first.request.deadline
+            }
+        }
+        return owed?.let { it to StartReason.GUARANTEED_SHARE } ?: urgent?.let { it to StartReason.URGENCY }
+    }
+
+    /** Returns whether a call of [rank] can be queued, if need be in the place of another. */
+    fun hasPlaceFor(
+        rank: RankState<Key>,
+        now: Moment,
+    ): Boolean = queued < places || displacedBy(rank, now) != null
+
+    /**
+     * Returns the call that gives up its place to a call of [rank], or null when a place is free or none may be taken.
+     *
+     * It is the latest call of the longest queue, measured by the time that its rank's guaranteed share takes to work it off. A queue no
+     * longer than [keptPlaces] gives up nothing.
+     */
+    fun displacedBy(
+        rank: RankState<Key>,
+        now: Moment,
+    ): AdmissionCall<Key>? {
+        if (queued < places) return null
+        val longest = longest(now) ?: return null
+        if (longest === rank) return null
+        val yields = rank.line.size < keptPlaces || byLength(now).compare(longest, rank) > 0
+        return if (yields) longest.line.lastArrival() else null
+    }
+
+    /** Returns a call that waits beyond the places that a changed policy allows, or null. */
+    fun surplus(now: Moment): AdmissionCall<Key>? {
+        if (queued <= places) return null
+        val longest = longest(now) ?: states.last { it.line.size > 0 }
+        return longest.line.lastArrival()
+    }
+
+    private fun longest(now: Moment): RankState<Key>? = states.filter { it.line.size > keptPlaces }.maxWithOrNull(byLength(now))
+
+    private fun byLength(now: Moment): Comparator<RankState<Key>> =
+        compareBy({ it.line.size * it.serviceTime.expected(now) / it.policy.guaranteedShare }, { it.line.size }, { it.position })
+
+    /**
+     * Returns how many nanoseconds a call of [rank] that arrives now is expected to wait behind those already queued.
+     *
+     * It is the shorter of two ways: behind all more urgent calls, on the slots that the other ranks leave; or on the slots that the rank
+     * is guaranteed, once its debt is worked off.
+     */
+    fun expectedWait(
+        rank: RankState<Key>,
+        capacity: Int,
+        now: Moment,
+    ): Double {
+        val ownWork = (rank.line.size + 1) * rank.serviceTime.expected(now)
+        var urgentWork = 0.0
+        var claimed = 0.0
+        for (other in states) {
+            if (other.position < rank.position) {
+                urgentWork += other.line.size * other.serviceTime.expected(now)
+                claimed += other.occupancy
+            } else if (other.position > rank.position) {
+                claimed += minOf(other.occupancy, other.guaranteedSlots(capacity))
+            }
+        }
+        val byUrgency = (urgentWork + ownWork) / (capacity - claimed).coerceAtLeast(SMALLEST_CAPACITY)
+        val guaranteed = rank.guaranteedSlots(capacity)
+        return if (guaranteed > 0.0) minOf(byUrgency, (rank.debt() + ownWork) / guaranteed) else byUrgency
+    }
+
+    /** Takes [policy] over; calls of a rank that it no longer has move to the least urgent rank. */
+    fun changePolicy(policy: AdmissionPolicy) {
+        val before = states.associateBy { it.policy.name }
+        val kept = policy.ranks.map { it.name }.toSet()
+        states =
+            policy.ranks.mapIndexed { position, rank ->
+                val state = before[rank.name] ?: RankState(rank, position)
+                state.policy = rank
+                state.position = position
+                state
+            }
+        places = policy.queuePlaces
+        before.values.filter { it.policy.name !in kept }.forEach { moveQueue(it, states.last()) }
+    }
+
+    private fun moveQueue(
+        from: RankState<Key>,
+        to: RankState<Key>,
+    ) {
+        while (true) {
+            val call = from.line.firstArrival() ?: return
+            from.line.remove(call)
+            call.rank = to
+            to.line.add(call)
+        }
+    }
+
+    private companion object {
+        const val SMALLEST_CAPACITY = 0.01
+    }
+}
