--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/call/BackendServerHealth.kt
@@ -0,0 +1,92 @@
+package org.celeryusher.node.call
+
+import io.ktor.client.HttpClient
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.identity.Address
+import java.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What a backend server says of itself, or that it says nothing. */
+public enum class BackendServerState {
+    /** Not asked yet. */
+    UNKNOWN,
+
+    /** Listens, and is not ready for calls. */
+    STARTING,
+
+    /** Takes calls. */
+    READY,
+
+    /** Is leaving and takes no new calls. */
+    DRAINING,
+
+    /** Does not answer. */
+    DOWN,
+}
+
+/** Reads the health of the backend server beside this node and tells about changes. */
+internal class BackendServerHealth(
+    private val client: HttpClient,
+    private val server: Address,
+    private val interval: Duration,
+    private val onChange: suspend (before: BackendServerState, after: BackendServerState) -> Unit,
+) {
+    private val format = Json { ignoreUnknownKeys = true }
+
+    /** What the server last said. */
+    @Volatile
+    var state: BackendServerState = BackendServerState.UNKNOWN
+        private set
+
+    /** Reads until cancelled. */
+    suspend fun run() {
+        while (true) {
+            val after = read()
+            val before = state
+            state = after
+            if (after != before) onChange(before, after)
+            delay(interval)
+        }
+    }
+
+    private suspend fun read(): BackendServerState =
+        try {
+            withTimeout(READ_TIMEOUT) { stateOf(client.get("http://$server/health").bodyAsText()) }
+        } catch (_: TimeoutCancellationException) {
+            BackendServerState.DOWN
+        } catch (error: CancellationException) {
+            throw error
+        } catch (_: IOException) {
+            BackendServerState.DOWN
+        }
+
+    // A server without a health endpoint that answers anything at all is taken to be ready.
+    private fun stateOf(body: String): BackendServerState =
+        try {
+            when (format.decodeFromString<HealthReport>(body).state) {
+                "starting" -> BackendServerState.STARTING
+                "draining" -> BackendServerState.DRAINING
+                else -> BackendServerState.READY
+            }
+        } catch (_: SerializationException) {
+            BackendServerState.READY
+        }
+
+    @Serializable
+    private data class HealthReport(
+        val state: String = "ready",
+    )
+
+    private companion object {
+        val READ_TIMEOUT = 1.seconds
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -1,77 +1,318 @@
 package org.celeryusher.node.call
 
+import kotlinx.coroutines.CancellationException
+import org.celeryusher.kernel.configuration.ConfigurationSnapshot
 import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.error.RunStatus
+import org.celeryusher.kernel.execution.AttemptId
+import org.celeryusher.kernel.execution.CallProgress
+import org.celeryusher.kernel.execution.CrashVerdict
+import org.celeryusher.kernel.execution.DeadlineBudget
+import org.celeryusher.kernel.execution.QuarantineNews
+import org.celeryusher.kernel.execution.RequestFingerprint
+import org.celeryusher.kernel.execution.RetryDecision
+import org.celeryusher.kernel.execution.Ticket
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.routing.EndpointChoice
+import org.celeryusher.kernel.routing.EntryDecision
 import org.celeryusher.kernel.routing.HeldRoute
 import org.celeryusher.kernel.routing.ResolvedRoute
-import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
-import java.util.UUID
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Routes a caller's request to a backend server that can answer it. */
+/** A finished call: its result, and whether it was tried more than once on the way. */
+internal class ProxyAnswer(
+    val result: CallResult,
+    val retried: Boolean = false,
+)
+
+/** Routes a caller's request to a backend server that can answer it, and tries again where that is safe. */
 internal class CallProxy(
     private val ownInstance: InstanceName,
     private val routing: RoutingState,
     private val guard: Guard,
     private val frames: FrameClient,
+    private val selection: EndpointSelection,
+    private val crashes: CrashRegister,
+    private val clock: ProcessClock,
     private val random: Random,
+    private val observer: CallObserver,
 ) {
     /** Routes and runs [request]. */
-    suspend fun run(request: CallRequest): CallResult {
-        val table = routing.current.table ?: return CallResult.Failed(ErrorKind.NO_CONFIGURATION)
+    suspend fun run(request: CallRequest): ProxyAnswer {
+        val current = routing.current
+        val table = current.table ?: return failed(ErrorKind.NO_CONFIGURATION)
         return when (val route = table.match(request.method, request.path)) {
-            null -> CallResult.Failed(ErrorKind.NO_ROUTE, "${request.method} ${request.path}")
-            is HeldRoute -> CallResult.Failed(ErrorKind.NO_ENDPOINT, route.declaration.service.value)
-            is ResolvedRoute -> runOn(route, request)
+            null -> failed(ErrorKind.NO_ROUTE, "${request.method} ${request.path}")
+            is HeldRoute -> failed(ErrorKind.NO_ENDPOINT, route.declaration.service.value)
+            is ResolvedRoute -> runObserved(route, request, checkNotNull(current.snapshot))
+        }
+    }
+
+    /** Has a guard issue a ticket for the route of [method] and [path]. */
+    suspend fun requestTicket(
+        method: String,
+        path: String,
+    ): TicketReply {
+        val route = routing.current.table?.match(method, path) ?: return TicketReply.Refused(ErrorKind.NO_ROUTE)
+        if (route !is ResolvedRoute) return TicketReply.Refused(ErrorKind.NO_ENDPOINT)
+        val tried = mutableSetOf<InstanceName>()
+        var reply: TicketReply = TicketReply.Refused(ErrorKind.NO_ENDPOINT)
+        repeat(TICKET_ATTEMPTS) {
+            val choice = selection.choose(route, tried, clock.now()) as? EndpointChoice.Chosen ?: return reply
+            val endpoint = choice.endpoint
+            tried += endpoint.instance
+            selection.abandoned(endpoint.instance, clock.now())
+            reply = ticketFrom(endpoint, route)
+            if (reply is TicketReply.Issued) return reply
+        }
+        return reply
+    }
+
+    private suspend fun ticketFrom(
+        endpoint: Member,
+        route: ResolvedRoute,
+    ): TicketReply =
+        if (endpoint.instance == ownInstance) {
+            guard.issueTicket(route.declaration.name).fold(
+                { TicketReply.Refused(it) },
+                { TicketReply.Issued(it.encode(), (it.expiresAt - it.issuedAt).inWholeMilliseconds) },
+            )
+        } else {
+            frames.requestTicket(endpoint.frameAddress, route.declaration.name)
         }
+
+    private suspend fun runObserved(
+        route: ResolvedRoute,
+        request: CallRequest,
+        snapshot: ConfigurationSnapshot,
+    ): ProxyAnswer {
+        val answer = runOn(route, request, snapshot)
+        observer.callEnded(route, (answer.result as? CallResult.Failed)?.kind, clock.now() - request.arrived, answer.retried)
+        return answer
     }
 
     private suspend fun runOn(
         route: ResolvedRoute,
         request: CallRequest,
-    ): CallResult {
-        val deadline = deadlineOf(route, request) ?: return CallResult.Failed(ErrorKind.BAD_REQUEST, badDeadline(request))
-        val endpoint = route.endpoints[random.nextInt(route.endpoints.size)]
-        val call =
-            GuardCall(
-                attempt = UUID.randomUUID().toString(),
-                route = route.declaration.name,
-                rankPosition = route.rankPosition,
-                request = request,
-                deadline = deadline,
-                incarnationStart = endpoint.incarnation?.start,
-                ticket = request.header(CeleryusherHeaders.TICKET),
+        snapshot: ConfigurationSnapshot,
+    ): ProxyAnswer {
+        val asked = request.header(CeleryusherHeaders.DEADLINE)
+        val milliseconds = asked?.toLongOrNull()
+        if (asked != null && (milliseconds == null || milliseconds < 0)) return failed(ErrorKind.BAD_REQUEST, badDeadline(asked))
+        val deadline = DeadlineBudget.onArrival(milliseconds, route.settings.deadlineMilliseconds.milliseconds, request.arrived)
+        val fingerprint = RequestFingerprint.of(request.method, request.target, request.body)
+        val verdict = crashes.verdict(fingerprint, clock.now())
+        if (verdict is CrashVerdict.Quarantined) {
+            return ProxyAnswer(
+                CallResult.Failed(ErrorKind.QUARANTINED, retryAfter = verdict.remaining),
             )
+        }
+        val ticket = request.header(CeleryusherHeaders.TICKET)
+        if (ticket != null) return ProxyAnswer(runUnderTicket(route, request, deadline, ticket))
+        val hasOwnKey = request.header(CeleryusherHeaders.IDEMPOTENCY_KEY) != null
+        if (hasOwnKey && !route.declaration.idempotent) return failed(ErrorKind.TICKET_REQUIRED, "POST /-/tickets issues one")
+        val entry = selection.enter(route, snapshot, clock.now())
+        if (entry is EntryDecision.Refuse) return refusedAtEntry(route, entry)
+        return runWithRetries(Call(route, request, deadline, fingerprint), verdict is CrashVerdict.RunAlone)
+    }
+
+    private suspend fun runWithRetries(
+        call: Call,
+        suspectedBefore: Boolean,
+    ): ProxyAnswer {
+        val tried = mutableSetOf<InstanceName>()
+        var suspected = suspectedBefore
+        var request = call.request
+        while (true) {
+            val choice = selection.choose(call.route, tried, clock.now())
+            if (choice !is EndpointChoice.Chosen) return failed(ErrorKind.NO_ENDPOINT, call.route.service.name.value)
+            tried += choice.endpoint.instance
+            val attempt = AttemptId.random(random)
+            logChoice(call, attempt, choice, tried.size)
+            val reply = place(choice.endpoint, attempt, call, request, suspected)
+            noteCrash(call.fingerprint, reply)
+            val decision = selection.afterAttempt(call.route, reply.result, progressOf(call, tried, reply), clock.now())
+            when (decision) {
+                is RetryDecision.Answer -> return ProxyAnswer(reply.result, decision.markRetried)
+                is RetryDecision.Retry -> Unit
+            }
+            if (crashes.verdict(call.fingerprint, clock.now()) is CrashVerdict.Quarantined) return ProxyAnswer(reply.result, retried = true)
+            suspected = suspected || reply.crashes > 0
+            request = call.markedAsRetry
+        }
+    }
+
+    private suspend fun place(
+        endpoint: Member,
+        attempt: AttemptId,
+        call: Call,
+        request: CallRequest,
+        suspected: Boolean,
+    ): GuardReply {
+        val sent = clock.now()
+        try {
+            val outgoing = outgoing(call, request, attempt, endpoint, suspected)
+            val reply = if (endpoint.instance == ownInstance) runHere(outgoing) else frames.run(endpoint.frameAddress, outgoing)
+            val now = clock.now()
+            selection.answered(call.route, endpoint.instance, reply, now - sent, now)
+            return reply
+        } catch (cancelled: CancellationException) {
+            selection.abandoned(endpoint.instance, clock.now())
+            throw cancelled
+        }
+    }
+
+    private suspend fun runHere(call: OutgoingCall): GuardReply =
+        guard.run(
+            GuardCall(
+                guard.referenceTo(call.attempt, call.deadline.deadline),
+                call.route,
+                call.rankPosition,
+                call.idempotent,
+                call.request,
+                call.ticket,
+                call.suspected,
+            ),
+        )
+
+    private suspend fun runUnderTicket(
+        route: ResolvedRoute,
+        request: CallRequest,
+        deadline: DeadlineBudget,
+        text: String,
+    ): CallResult {
+        val ticket = Ticket.decode(text).fold({ return CallResult.Failed(it) }, { it })
+        val owner = routing.current.view[ticket.owner] ?: return CallResult.Failed(ErrorKind.TICKET_OWNER_GONE, ticket.owner.value)
+        val attempt = AttemptId.random(random)
         DecisionLog.decision(
             "routing",
-            endpoint.instance.value,
-            "random choice",
+            owner.instance.value,
+            "owner of the ticket",
             "route" to route.declaration.name,
-            "attempt" to call.attempt,
-            "candidates" to route.endpoints.size,
+            "attempt" to attempt,
         )
-        return place(endpoint, call)
+        selection.sentToOwner(owner.instance)
+        val call = Call(route, request, deadline, RequestFingerprint.of(request.method, request.target, request.body), text, ticket.life)
+        val result = place(owner, attempt, call, request, suspected = false).result
+        val neverSent = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_REFUSED
+        return if (neverSent &&
+            owner.instance != ownInstance
+        ) {
+            CallResult.Failed(ErrorKind.TICKET_OWNER_UNREACHABLE, ticket.owner.value)
+        } else {
+            result
+        }
     }
 
-    private suspend fun place(
+    private fun outgoing(
+        call: Call,
+        request: CallRequest,
+        attempt: AttemptId,
         endpoint: Member,
-        call: GuardCall,
-    ): CallResult = if (endpoint.instance == ownInstance) guard.run(call) else frames.run(endpoint.frameAddress, call)
+        suspected: Boolean,
+    ): OutgoingCall =
+        OutgoingCall(
+            attempt = attempt,
+            route = call.route.declaration.name,
+            rankPosition = call.route.rankPosition,
+            idempotent = call.route.declaration.idempotent,
+            request = request,
+            deadline = call.deadline,
+            oneWay = selection.oneWayTo(endpoint),
+            ticket = call.ticket,
+            ticketLife = call.ticketLife,
+            suspected = suspected,
+        )
+
+    private fun progressOf(
+        call: Call,
+        tried: Set<InstanceName>,
+        reply: GuardReply,
+    ): CallProgress =
+        CallProgress(
+            idempotent = call.route.declaration.idempotent,
+            attempts = tried.size,
+            maximumAttempts = call.route.settings.maximumAttempts,
+            deadline = call.deadline,
+            untriedEndpoints = call.route.endpoints.count { it.instance !in tried },
+            requestIsRetry = call.request.header(CeleryusherHeaders.RETRY) != null,
+            answerIsRetried =
+                (reply.result as? CallResult.Answered)?.headers.orEmpty().any {
+                    it.name.equals(
+                        CeleryusherHeaders.RETRIED,
+                        true,
+                    )
+                },
+        )
+
+    private fun noteCrash(
+        fingerprint: RequestFingerprint,
+        reply: GuardReply,
+    ) {
+        if (reply.crashes > 0) crashes.merge(QuarantineNews(fingerprint, CRASH_MEMORY_MILLISECONDS, reply.crashes), clock.now())
+        val ran = (reply.result as? CallResult.Failed)?.kind?.runStatus ?: RunStatus.RAN
+        if (ran == RunStatus.RAN) crashes.completed(fingerprint, clock.now())
+    }
 
-    private fun deadlineOf(
+    private fun refusedAtEntry(
         route: ResolvedRoute,
-        request: CallRequest,
-    ): Moment? {
-        val ofRoute = route.settings.deadlineMilliseconds
-        val asked = request.header(CeleryusherHeaders.DEADLINE) ?: return request.arrived + ofRoute.milliseconds
-        val milliseconds = asked.toLongOrNull()?.takeIf { it >= 0 } ?: return null
-        return request.arrived + minOf(milliseconds, ofRoute).milliseconds
+        entry: EntryDecision.Refuse,
+    ): ProxyAnswer {
+        DecisionLog.decision("entry", "refused", "guards refuse this rank", "route" to route.declaration.name, "share" to entry.probability)
+        return ProxyAnswer(CallResult.Failed(ErrorKind.OVERLOADED, "at the entry", ENTRY_RETRY_AFTER))
+    }
+
+    private fun logChoice(
+        call: Call,
+        attempt: AttemptId,
+        choice: EndpointChoice.Chosen,
+        attempts: Int,
+    ) {
+        DecisionLog.decision(
+            "routing",
+            choice.endpoint.instance.value,
+            choice.reason.name,
+            "route" to call.route.declaration.name,
+            "attempt" to attempt,
+            "try" to attempts,
+            "cost" to choice.cost,
+            "passedOver" to choice.passedOver.size,
+            "ejected" to choice.ejected,
+        )
     }
 
-    private fun badDeadline(request: CallRequest): String =
-        "${CeleryusherHeaders.DEADLINE}: \"${request.header(CeleryusherHeaders.DEADLINE)}\" is not a whole number of milliseconds"
+    private fun badDeadline(asked: String): String = "${CeleryusherHeaders.DEADLINE}: \"$asked\" is not a whole number of milliseconds"
+
+    private fun failed(
+        kind: ErrorKind,
+        detail: String = "",
+    ): ProxyAnswer = ProxyAnswer(CallResult.Failed(kind, detail))
+
+    /** One call on its route. */
+    private class Call(
+        val route: ResolvedRoute,
+        val request: CallRequest,
+        val deadline: DeadlineBudget,
+        val fingerprint: RequestFingerprint,
+        val ticket: String? = null,
+        val ticketLife: Long? = null,
+    ) {
+        /** The request with the mark by which no node below tries it again. */
+        val markedAsRetry: CallRequest by lazy {
+            val marked = request.headers.filterNot { it.name.equals(CeleryusherHeaders.RETRY, ignoreCase = true) } + RETRY_MARK
+            CallRequest(request.method, request.target, marked, request.body, request.arrived)
+        }
+    }
+
+    private companion object {
+        const val TICKET_ATTEMPTS = 3
+        const val CRASH_MEMORY_MILLISECONDS = 600_000L
+        val ENTRY_RETRY_AFTER = 1_000.milliseconds
+        val RETRY_MARK = HeaderField(CeleryusherHeaders.RETRY, "true")
+    }
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
@@ -0,0 +1,107 @@
+package org.celeryusher.node.call
+
+import io.ktor.server.application.ApplicationCall
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.admission.AdmissionPolicy
+import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.routing.DataCentreDistances
+import org.celeryusher.node.runtime.ProcessClock
+import org.celeryusher.node.runtime.RoutingState
+import org.celeryusher.node.runtime.SharedResources
+import org.celeryusher.node.settings.NodeSettings
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Everything of a node that calls pass through: the proxy towards callers, the guard of the backend server, and the way between nodes. */
+internal class CallSide(
+    private val settings: NodeSettings,
+    incarnation: Incarnation,
+    private val routing: RoutingState,
+    resources: SharedResources,
+    private val scope: CoroutineScope,
+    private val clock: ProcessClock,
+    random: Random,
+    observer: CallObserver,
+) {
+    /** What is known of requests that stop backend servers, to be exchanged with other nodes. */
+    val crashes: CrashRegister = CrashRegister(clock)
+
+    private val limits = settings.limits
+    private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
+    private val backendServer = BackendServerClient(resources.httpClient, settings.backendServer, limits.maximumAnswerBytes)
+    private val guard = Guard(settings.instance, incarnation.start, backendServer, crashes, clock, random)
+    private val maximumFrameBytes = maxOf(limits.maximumBodyBytes, limits.maximumAnswerBytes) + limits.maximumHeaderBytes * 2
+    private val frameServer = FrameServer(settings.addresses.frames, resources.selector, guard, incarnation.start, clock, maximumFrameBytes)
+    private val frameClient = FrameClient(resources.selector, scope, clock, maximumFrameBytes)
+    private val distances = DataCentreDistances(settings.dataCentre, settings.control.interDataCentreMicroseconds.microseconds)
+    private val selection = EndpointSelection(distances, random)
+    private val proxy = CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, observer)
+    private val callers = CallerEndpoint(proxy, clock, limits)
+
+    /** The guard's load, or null before a configuration with this node's service is in force. */
+    val load: GuardLoad? get() = guard.load()
+
+    /** How many calls of callers and attempts of other nodes are in flight here. */
+    val inFlight: Int get() = callers.inFlight + guard.inFlight
+
+    /** How many answers came from other nodes that no call waited for. */
+    val strayAnswers: Long get() = frameClient.strayAnswers.get()
+
+    /** Answers a call of a caller. */
+    suspend fun answer(call: ApplicationCall): Unit = callers.answer(call)
+
+    /** Takes calls from other nodes and follows changes of the configuration and the view. */
+    suspend fun start() {
+        routing.onChange(::takeChange)
+        scope.launch { guard.runTicks() }
+        frameServer.start(scope)
+    }
+
+    /** The backend server has started anew, so its share of calls rises slowly. */
+    fun serverStarted(): Unit = guard.serverStarted()
+
+    /** Hands queued calls back as not run and takes no new ones for the backend server; calls for others still pass. */
+    fun drain(): Unit = guard.drain()
+
+    /** Refuses new calls of callers, and waits until none is in flight or the drain limit has passed. */
+    suspend fun finish() {
+        callers.refuseNewCalls()
+        withTimeoutOrNull(drainLimit()) {
+            while (inFlight > 0) delay(DRAIN_POLL)
+        }
+    }
+
+    /** Closes all connections between nodes. */
+    fun close() {
+        frameServer.stop()
+        frameClient.stop()
+    }
+
+    private fun takeChange(current: RoutingState.Current) {
+        selection.takeView(current.view, clock.now())
+        frameClient.retainOnly(current.view.members.mapTo(HashSet()) { it.frameAddress })
+        val snapshot = current.snapshot ?: return
+        val service = snapshot.service(settings.service) ?: return
+        val effective = snapshot.effectiveSettings(place)
+        guard.usePolicy(AdmissionPolicy.of(snapshot, effective, service), effective.quarantineMilliseconds.milliseconds)
+    }
+
+    private fun drainLimit(): Duration {
+        val configured =
+            routing.current.snapshot
+                ?.effectiveSettings(place)
+                ?.drainLimitMilliseconds
+        return (configured ?: limits.drainLimitMilliseconds).milliseconds
+    }
+
+    private companion object {
+        val DRAIN_POLL = 10.milliseconds
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -1,11 +1,14 @@
 package org.celeryusher.node.call
 
+import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.content.ByteArrayContent
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.request.uri
 import io.ktor.server.response.header
@@ -18,6 +21,7 @@
 import org.celeryusher.kernel.error.RunStatus
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.settings.NodeLimits
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.DurationUnit
 
 /** Answers callers over HTTP: reads a whole request within the limits, has it run, writes a whole answer. */
@@ -26,8 +30,30 @@
     private val clock: ProcessClock,
     private val limits: NodeLimits,
 ) {
+    private val running = AtomicInteger()
+
+    @Volatile
+    private var stopping = false
+
+    /** How many calls of callers are in flight. */
+    val inFlight: Int get() = running.get()
+
+    /** Refuses new calls from now on; those in flight go on. */
+    fun refuseNewCalls() {
+        stopping = true
+    }
+
     /** Answers one call of a caller. */
     suspend fun answer(call: ApplicationCall) {
+        running.incrementAndGet()
+        try {
+            if (stopping) write(call, CallResult.Failed(ErrorKind.NODE_STOPPING)) else answerWhileServing(call)
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    private suspend fun answerWhileServing(call: ApplicationCall) {
         val arrived = clock.now()
         val headers =
             call.request.headers
@@ -45,8 +71,27 @@
         if (announced != null && body.size < announced) {
             return write(call, CallResult.Failed(ErrorKind.BAD_REQUEST, "${body.size} of $announced body bytes arrived"))
         }
+        if (call.request.path() == TICKET_PATH && call.request.httpMethod == HttpMethod.Post) return answerTicket(call)
         val passedOn = headers.filterNot { ConnectionHeaders.contains(it.name) }
-        write(call, proxy.run(CallRequest(call.request.httpMethod.value, call.request.uri, passedOn, body, arrived)))
+        val answer = proxy.run(CallRequest(call.request.httpMethod.value, call.request.uri, passedOn, body, arrived))
+        if (answer.retried) call.response.header(CeleryusherHeaders.RETRIED, "true")
+        write(call, answer.result)
+    }
+
+    private suspend fun answerTicket(call: ApplicationCall) {
+        val parameters = call.request.queryParameters
+        val method = parameters["method"] ?: return write(call, CallResult.Failed(ErrorKind.BAD_REQUEST, "the parameter method is missing"))
+        val path = parameters["path"] ?: return write(call, CallResult.Failed(ErrorKind.BAD_REQUEST, "the parameter path is missing"))
+        when (val reply = proxy.requestTicket(method, path)) {
+            is TicketReply.Issued -> {
+                val body = Json.encodeToString(TicketAnswer(reply.ticket, reply.validMilliseconds)).encodeToByteArray()
+                call.respond(ByteArrayContent(body, ContentType.Application.Json, HttpStatusCode.Created))
+            }
+
+            is TicketReply.Refused -> {
+                write(call, CallResult.Failed(reply.kind, "$method $path"))
+            }
+        }
     }
 
     // The channel of a request that offers an upgrade stays open after its body, so no more is read than the headers announce.
@@ -75,14 +120,22 @@
         var contentType: ContentType? = null
         for (field in result.headers) {
             if (field.name.equals(HttpHeaders.ContentType, ignoreCase = true)) {
-                contentType = ContentType.parse(field.value)
-            } else {
+                contentType = contentTypeOf(field.value)
+            } else if (!field.name.equals(CeleryusherHeaders.RETRIED, ignoreCase = true)) {
                 call.response.headers.append(field.name, field.value, safeOnly = false)
             }
         }
         call.respond(ByteArrayContent(result.body, contentType, HttpStatusCode.fromValue(result.status)))
     }
 
+    // A content type that cannot be parsed is left out: the body is passed on as it is.
+    private fun contentTypeOf(value: String): ContentType? =
+        try {
+            ContentType.parse(value)
+        } catch (_: BadContentTypeFormatException) {
+            null
+        }
+
     private suspend fun writeError(
         call: ApplicationCall,
         result: CallResult.Failed,
@@ -96,6 +149,15 @@
     }
 }
 
+private const val TICKET_PATH = "/-/tickets"
+
+/** The JSON body of the answer to a request for a ticket. */
+@Serializable
+internal data class TicketAnswer(
+    val ticket: String,
+    val validMilliseconds: Long,
+)
+
 /** The JSON body of an error answer. */
 @Serializable
 internal data class ErrorAnswer(
--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -6,31 +6,43 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import org.celeryusher.kernel.admission.GuardLoad
 import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.execution.AttemptReference
+import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.identity.RouteName
 
 /** One message on a connection that carries calls between nodes. Answers are matched to requests by [exchange]. */
 @Serializable
 public sealed interface Frame {
     public val exchange: Long
 
+    /** The first frame of a guard on each new connection: which life of which process this is, and what its clock shows. */
+    @Serializable
+    @SerialName("o")
+    public class Hello(
+        @SerialName("x") override val exchange: Long,
+        @SerialName("l") public val life: Long,
+        @SerialName("u") public val uptime: Uptime,
+    ) : Frame
+
     /** A call for the guard to run. */
     @Serializable
     @SerialName("c")
     public class Call(
         @SerialName("x") override val exchange: Long,
-        /** The process start of the guard that the proxy means; a guard of another life refuses the call as not run. */
-        @SerialName("i") public val incarnationStart: Long?,
-        @SerialName("a") public val attempt: String,
+        @SerialName("a") public val reference: AttemptReference,
+        @SerialName("n") public val route: RouteName,
         @SerialName("r") public val rankPosition: Int,
+        @SerialName("i") public val idempotent: Boolean,
         @SerialName("m") public val method: String,
         @SerialName("t") public val target: String,
         @SerialName("h") public val headers: List<HeaderField>,
         @ByteString
         @SerialName("b")
         public val body: ByteArray,
-        @SerialName("d") public val millisecondsLeft: Long,
-        @SerialName("n") public val route: String,
-        @SerialName("s") public val ticket: String? = null,
+        @SerialName("k") public val ticket: String? = null,
+        @SerialName("s") public val suspected: Boolean = false,
     ) : Frame
 
     /** The whole answer of a backend server. */
@@ -45,6 +57,8 @@
         public val body: ByteArray,
         /** The length that the body must have, as a check against torn answers. */
         @SerialName("l") public val bodyLength: Int,
+        @SerialName("g") public val load: GuardLoad? = null,
+        @SerialName("u") public val uptime: Uptime? = null,
     ) : Frame
 
     /** A call that ended without an answer. */
@@ -55,6 +69,43 @@
         @SerialName("k") public val kind: ErrorKind,
         @SerialName("d") public val detail: String,
         @SerialName("w") public val retryAfterMilliseconds: Long? = null,
+        @SerialName("g") public val load: GuardLoad? = null,
+        @SerialName("u") public val uptime: Uptime? = null,
+        /** How many crashes of backend servers the request is known to have caused. */
+        @SerialName("q") public val crashes: Int = 0,
+    ) : Frame
+
+    /** Asks for a ticket for [route]. */
+    @Serializable
+    @SerialName("t")
+    public class TicketRequest(
+        @SerialName("x") override val exchange: Long,
+        @SerialName("n") public val route: RouteName,
+    ) : Frame
+
+    /** A ticket, as text. */
+    @Serializable
+    @SerialName("i")
+    public class TicketIssued(
+        @SerialName("x") override val exchange: Long,
+        @SerialName("k") public val ticket: String,
+        @SerialName("v") public val validMilliseconds: Long,
+    ) : Frame
+
+    /** Asks what became of an attempt after its connection broke; one that never came can run no more after that. */
+    @Serializable
+    @SerialName("r")
+    public class Resolve(
+        @SerialName("x") override val exchange: Long,
+        @SerialName("a") public val reference: AttemptReference,
+    ) : Frame
+
+    /** Answers [Resolve]: [notRun] is the kind that proves the attempt did not and cannot run, or null when that is not proven. */
+    @Serializable
+    @SerialName("e")
+    public class Resolution(
+        @SerialName("x") override val exchange: Long,
+        @SerialName("k") public val notRun: ErrorKind? = null,
     ) : Frame
 
     /** The proxy no longer wants the answer of [exchange]. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -5,21 +5,23 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.execution.AttemptState
+import org.celeryusher.kernel.execution.Outcome
 import org.celeryusher.kernel.identity.Address
-import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Takes calls from other nodes and hands them to the guard. */
 internal class FrameServer(
     private val address: Address,
     private val selector: SelectorManager,
     private val guard: Guard,
+    private val life: Long,
     private val clock: ProcessClock,
     private val maximumFrameBytes: Int,
 ) {
@@ -55,6 +57,7 @@
                     )
                 connections += connection
                 connection.start(scope)
+                connection.sendWaiting(Frame.Hello(0, life, guard.uptime(clock.now())))
             }
         } catch (error: IOException) {
             logger.debug(error) { "frame listener ended" }
@@ -68,34 +71,45 @@
         scope: CoroutineScope,
     ) {
         when (frame) {
-            is Frame.Call -> runCall(connection, frame, running, scope)
-            is Frame.Cancel -> running[frame.exchange]?.cancel()
-            is Frame.Answer, is Frame.Failure -> logger.warn { "a caller of frames sent an answer; dropped" }
+            is Frame.Call -> {
+                runCall(connection, frame, running, scope)
+            }
+
+            is Frame.Cancel -> {
+                running[frame.exchange]?.cancel()
+            }
+
+            is Frame.TicketRequest -> {
+                connection.send(issueTicket(frame))
+            }
+
+            is Frame.Resolve -> {
+                connection.send(Frame.Resolution(frame.exchange, provenNotRun(guard.resolve(frame.reference))))
+            }
+
+            is Frame.Hello, is Frame.Answer, is Frame.Failure, is Frame.TicketIssued, is Frame.Resolution -> {
+                logger.warn { "a proxy sent a frame that only guards send; dropped" }
+            }
         }
     }
 
+    private fun issueTicket(frame: Frame.TicketRequest): Frame =
+        guard.issueTicket(frame.route).fold(
+            { Frame.Failure(frame.exchange, it, "no ticket") },
+            { Frame.TicketIssued(frame.exchange, it.encode(), (it.expiresAt - it.issuedAt).inWholeMilliseconds) },
+        )
+
+    private fun provenNotRun(state: AttemptState): ErrorKind? = ((state as? AttemptState.Settled)?.outcome as? Outcome.NotRun)?.kind
+
     private fun runCall(
         connection: FrameConnection,
         frame: Frame.Call,
         running: ConcurrentHashMap<Long, Job>,
         scope: CoroutineScope,
     ) {
-        val now = clock.now()
-        val request = CallRequest(frame.method, frame.target, frame.headers, frame.body, now)
-        val call =
-            GuardCall(
-                attempt = frame.attempt,
-                route = RouteName(frame.route),
-                rankPosition = frame.rankPosition,
-                request = request,
-                deadline = now + frame.millisecondsLeft.milliseconds,
-                incarnationStart = frame.incarnationStart,
-                ticket = frame.ticket,
-            )
-        val job =
-            scope.launch(
-                start = kotlinx.coroutines.CoroutineStart.LAZY,
-            ) { connection.sendWaiting(answerOf(frame.exchange, guard.run(call))) }
+        val request = CallRequest(frame.method, frame.target, frame.headers, frame.body, clock.now())
+        val call = GuardCall(frame.reference, frame.route, frame.rankPosition, frame.idempotent, request, frame.ticket, frame.suspected)
+        val job = scope.launch(start = CoroutineStart.LAZY) { connection.sendWaiting(answerOf(frame.exchange, guard.run(call))) }
         running[frame.exchange] = job
         job.invokeOnCompletion { running.remove(frame.exchange) }
         job.start()
@@ -103,12 +117,20 @@
 
     private fun answerOf(
         exchange: Long,
-        result: CallResult,
-    ): Frame =
-        when (result) {
-            is CallResult.Answered -> Frame.Answer(exchange, result.status, result.headers, result.body, result.body.size)
-            is CallResult.Failed -> Frame.Failure(exchange, result.kind, result.detail, result.retryAfter?.inWholeMilliseconds)
+        reply: GuardReply,
+    ): Frame {
+        val uptime = guard.uptime(clock.now())
+        return when (val result = reply.result) {
+            is CallResult.Answered -> {
+                Frame.Answer(exchange, result.status, result.headers, result.body, result.body.size, reply.load, uptime)
+            }
+
+            is CallResult.Failed -> {
+                val retryAfter = result.retryAfter?.inWholeMilliseconds
+                Frame.Failure(exchange, result.kind, result.detail, retryAfter, reply.load, uptime, reply.crashes)
+            }
         }
+    }
 
     private fun closed(
         connection: FrameConnection,
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -1,43 +1,372 @@
 package org.celeryusher.node.call
 
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
+import arrow.core.Either
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.admission.AdmissionController
+import org.celeryusher.kernel.admission.AdmissionDecision
+import org.celeryusher.kernel.admission.AdmissionPolicy
+import org.celeryusher.kernel.admission.AdmissionRequest
+import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.admission.ServiceOutcome
 import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.execution.AttemptArrival
+import org.celeryusher.kernel.execution.AttemptId
+import org.celeryusher.kernel.execution.AttemptReference
+import org.celeryusher.kernel.execution.AttemptRegistry
+import org.celeryusher.kernel.execution.AttemptStart
+import org.celeryusher.kernel.execution.AttemptState
+import org.celeryusher.kernel.execution.CrashVerdict
+import org.celeryusher.kernel.execution.Outcome
+import org.celeryusher.kernel.execution.RequestFingerprint
+import org.celeryusher.kernel.execution.Ticket
+import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
+import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Stands before the backend server of this instance: admits calls, runs each at most once, refuses the rest. */
+/**
+ * Stands before the backend server of this instance: admits calls by rank, runs each attempt at most once, refuses the rest.
+ *
+ * Each attempt runs in the coroutine of whoever asked for it; cancelling that coroutine cancels the attempt.
+ */
 internal class Guard(
+    instance: InstanceName,
+    private val life: Long,
     private val client: BackendServerClient,
+    private val crashes: CrashRegister,
     private val clock: ProcessClock,
-    private val incarnationStart: Long,
+    random: Random,
 ) {
-    private val slots = Semaphore(SLOTS)
+    private val origin = clock.now()
+    private val lock = Any()
+    private val attempts = AttemptRegistry(life)
+    private val tickets = GuardTickets(instance, life, random)
+    private val tasks = HashMap<AttemptId, GuardTask>()
+    private var admission: AdmissionController<AttemptId>? = null
+    private var quarantine: Duration = DEFAULT_QUARANTINE
 
-    /** Runs [call] or refuses it; every way out says what is known about the work. */
-    suspend fun run(call: GuardCall): CallResult {
-        if (call.incarnationStart != null && call.incarnationStart != incarnationStart) {
-            return CallResult.Failed(ErrorKind.CONNECTION_REFUSED, "the instance was restarted")
+    /** This guard's own clock, in which attempts and tickets expire. */
+    fun uptime(now: Moment): Uptime = Uptime((now - origin).inWholeMilliseconds)
+
+    /** Names an attempt by this node's own proxy with [deadline]. */
+    fun referenceTo(
+        attempt: AttemptId,
+        deadline: Moment,
+    ): AttemptReference = AttemptReference(attempt, life, uptime(deadline))
+
+    /** Puts [policy] in force; requests that crash servers are refused for [quarantine]. */
+    fun usePolicy(
+        policy: AdmissionPolicy,
+        quarantine: Duration,
+    ) {
+        synchronized(lock) {
+            this.quarantine = quarantine
+            val now = clock.now()
+            val controller = admission
+            if (controller == null) admission = AdmissionController(policy, now) else carryOut(controller.changePolicy(policy, now), now)
         }
-        var started = false
+    }
+
+    /** Runs [call] or refuses it; every way out says what is known about the work. */
+    suspend fun run(call: GuardCall): GuardReply {
+        val fingerprint = RequestFingerprint.of(call.request.method, call.request.target, call.request.body)
         val result =
-            withTimeoutOrNull(timeLeft(call.deadline, clock.now())) {
-                slots.withPermit {
-                    started = true
-                    client.run(call.request, timeLeft(call.deadline, clock.now()).inWholeMilliseconds)
-                }
+            when (val step = synchronized(lock) { admit(call, fingerprint) }) {
+                is Admitted.Task -> runTask(step.task)
+                is Admitted.Follow -> follow(step.first)
+                is Admitted.Ended -> step.result
             }
-        return result ?: CallResult.Failed(if (started) ErrorKind.DEADLINE_WHILE_RUNNING else ErrorKind.DEADLINE_BEFORE_START)
+        return GuardReply(result, load(), crashesOf(fingerprint, result))
     }
 
-    private fun timeLeft(
-        deadline: Moment,
+    /** Issues a ticket for [route]. */
+    fun issueTicket(route: RouteName): Either<ErrorKind, Ticket> = synchronized(lock) { tickets.issue(route, uptime(clock.now())) }
+
+    /** Answers what became of [attempt]; one that never came is fenced by that and can run no more. */
+    fun resolve(attempt: AttemptReference): AttemptState = synchronized(lock) { attempts.resolve(attempt, uptime(clock.now())) }
+
+    /** Hands queued calls back as not run and refuses new ones; those that run go on. */
+    fun drain() {
+        synchronized(lock) {
+            val now = clock.now()
+            admission?.let { carryOut(it.drain(now), now) }
+        }
+    }
+
+    /** The backend server has started anew: its share of calls rises slowly. */
+    fun serverStarted() {
+        synchronized(lock) {
+            val now = clock.now()
+            admission?.let { carryOut(it.serverStarted(now), now) }
+        }
+    }
+
+    /** How many attempts wait or run. */
+    val inFlight: Int get() = synchronized(lock) { tasks.size }
+
+    /** The load that proxies are told. */
+    fun load(): GuardLoad? = synchronized(lock) { admission?.load(clock.now()) }
+
+    /** Refuses queued calls whose deadline can no longer be met, until cancelled. */
+    suspend fun runTicks() {
+        while (true) {
+            synchronized(lock) {
+                val now = clock.now()
+                val due = admission?.nextTick()
+                if (due != null && due <= now) admission?.let { carryOut(it.tick(now), now) }
+            }
+            delay(TICK_INTERVAL)
+        }
+    }
+
+    private fun admit(
+        call: GuardCall,
+        fingerprint: RequestFingerprint,
+    ): Admitted {
+        val now = clock.now()
+        val controller = admission ?: return Admitted.Ended(CallResult.Failed(ErrorKind.NO_CONFIGURATION))
+        val verdict = crashes.verdict(fingerprint, now)
+        if (verdict is CrashVerdict.Quarantined) {
+            return Admitted.Ended(
+                CallResult.Failed(ErrorKind.QUARANTINED, retryAfter = verdict.remaining),
+            )
+        }
+        val refused = refusalAtArrival(attempts.arrive(call.reference, call.idempotent, uptime(now)))
+        if (refused != null) return Admitted.Ended(refused)
+        return when (val step = tickets.use(call, fingerprint, uptime(now))) {
+            is TicketStep.Answer -> settledBefore(call, step.result, now)
+            is TicketStep.Wait ->
+                Admitted
+                    .Follow(
+                        step.first,
+                    ).also { attempts.refuse(call.reference, ErrorKind.CANCELLED_BEFORE_START, uptime(now)) }
+            is TicketStep.Run -> Admitted.Task(arrive(controller, call, fingerprint, step.ticket, verdict, now))
+        }
+    }
+
+    private fun settledBefore(
+        call: GuardCall,
+        result: CallResult,
         now: Moment,
-    ): Duration = (deadline - now).coerceAtLeast(Duration.ZERO)
+    ): Admitted {
+        attempts.refuse(call.reference, ErrorKind.CANCELLED_BEFORE_START, uptime(now))
+        return Admitted.Ended(result)
+    }
+
+    private fun arrive(
+        controller: AdmissionController<AttemptId>,
+        call: GuardCall,
+        fingerprint: RequestFingerprint,
+        ticket: Ticket?,
+        verdict: CrashVerdict,
+        now: Moment,
+    ): GuardTask {
+        val task = GuardTask(call, fingerprint, now + (call.reference.expiresAt - uptime(now)), ticket)
+        tasks[call.reference.id] = task
+        tickets.began(task)
+        val alone = call.suspected || verdict is CrashVerdict.RunAlone
+        carryOut(controller.arrive(AdmissionRequest(call.reference.id, call.rankPosition, task.deadline, alone), now), now)
+        return task
+    }
+
+    private fun refusalAtArrival(arrival: AttemptArrival): CallResult? =
+        when (arrival) {
+            is AttemptArrival.Accepted -> null
+            is AttemptArrival.Refused -> failureOf(arrival.outcome)
+            is AttemptArrival.Duplicate -> CallResult.Failed(ErrorKind.CONNECTION_LOST, "another copy of the attempt came first")
+        }
+
+    private suspend fun runTask(task: GuardTask): CallResult {
+        try {
+            task.turn.await()?.let { return it }
+        } catch (cancelled: CancellationException) {
+            synchronized(lock) { withdraw(task) }
+            throw cancelled
+        }
+        var result: CallResult = CallResult.Failed(ErrorKind.CANCELLED_WHILE_RUNNING)
+        try {
+            val left = task.deadline - clock.now()
+            result = withTimeoutOrNull(left) { client.run(task.call.request, left.inWholeMilliseconds) }
+                ?: CallResult.Failed(ErrorKind.DEADLINE_WHILE_RUNNING)
+        } finally {
+            result = synchronized(lock) { ended(task, result) }
+        }
+        return result
+    }
+
+    private suspend fun follow(first: GuardTask): CallResult {
+        val left = first.deadline - clock.now()
+        return withTimeoutOrNull(left) { first.ended.await() } ?: CallResult.Failed(ErrorKind.TICKET_IN_PROGRESS)
+    }
+
+    private fun withdraw(task: GuardTask) {
+        val now = clock.now()
+        if (task.startedAt == null) {
+            attempts.cancel(task.call.reference, uptime(now))
+            admission?.let { carryOut(it.cancel(task.call.reference.id, now), now) }
+        } else {
+            // Its turn had come, but nothing was sent to the backend server.
+            end(task, CallResult.Failed(ErrorKind.CANCELLED_BEFORE_START), Duration.ZERO, now)
+        }
+    }
+
+    private fun ended(
+        task: GuardTask,
+        result: CallResult,
+    ): CallResult {
+        val now = clock.now()
+        val known =
+            if (result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_LOST) serverCrashed(task, result.detail, now) else result
+        if (known is CallResult.Answered) crashes.completed(task.fingerprint, now)
+        end(task, known, now - (task.startedAt ?: now), now)
+        return known
+    }
+
+    private fun end(
+        task: GuardTask,
+        result: CallResult,
+        serviceTime: Duration,
+        now: Moment,
+    ) {
+        val id = task.call.reference.id
+        val outcome = outcomeOf(result)
+        tasks -= id
+        attempts.finish(id, outcome)
+        tickets.ended(task, result, outcome, uptime(now))
+        admission?.let { carryOut(it.finished(id, serviceTime, serviceOutcomeOf(result), now), now) }
+    }
+
+    private fun serverCrashed(
+        task: GuardTask,
+        detail: String,
+        now: Moment,
+    ): CallResult {
+        if (!task.crashCounted) {
+            val running = tasks.values.filter { it.startedAt != null }
+            running.forEach { it.crashCounted = true }
+            crashes.crashed(running.mapTo(HashSet()) { it.fingerprint } + task.fingerprint, quarantine, now)
+        }
+        return CallResult.Failed(ErrorKind.SERVER_CRASHED, detail)
+    }
+
+    private fun carryOut(
+        decisions: List<AdmissionDecision<AttemptId>>,
+        now: Moment,
+    ) {
+        for (decision in decisions) {
+            val task = tasks[decision.key] ?: continue
+            when (decision) {
+                is AdmissionDecision.Start -> startTask(task, decision, now)
+                is AdmissionDecision.Enqueued -> logDecision(task, "queued", "no free slot", decision)
+                is AdmissionDecision.Refuse -> refuseTask(task, decision, now)
+            }
+        }
+    }
+
+    private fun startTask(
+        task: GuardTask,
+        decision: AdmissionDecision.Start<AttemptId>,
+        now: Moment,
+    ) {
+        task.startedAt = now
+        logDecision(task, "start", decision.reason.name, decision)
+        when (val start = attempts.start(task.call.reference, task.call.idempotent, uptime(now))) {
+            is AttemptStart.Run -> {
+                task.turn.complete(null)
+            }
+
+            is AttemptStart.Refused -> {
+                val result = failureOf(start.outcome)
+                end(task, result, Duration.ZERO, now)
+                task.turn.complete(result)
+            }
+        }
+    }
+
+    private fun refuseTask(
+        task: GuardTask,
+        decision: AdmissionDecision.Refuse<AttemptId>,
+        now: Moment,
+    ) {
+        logDecision(task, "refused", decision.cause.name, decision)
+        val outcome = attempts.refuse(task.call.reference, decision.error, uptime(now))
+        val result = failureOf(outcome, decision.cause.name, decision.retryAfter)
+        tasks -= task.call.reference.id
+        tickets.ended(task, result, outcome, uptime(now))
+        task.turn.complete(result)
+    }
+
+    private fun logDecision(
+        task: GuardTask,
+        decided: String,
+        reason: String,
+        decision: AdmissionDecision<AttemptId>,
+    ) {
+        DecisionLog.decision(
+            "admission",
+            decided,
+            reason,
+            "attempt" to decision.key,
+            "route" to task.call.route,
+            "inputs" to decision.inputs,
+        )
+    }
+
+    private fun crashesOf(
+        fingerprint: RequestFingerprint,
+        result: CallResult,
+    ): Int {
+        if (result !is CallResult.Failed || result.kind != ErrorKind.SERVER_CRASHED) return 0
+        return crashes.news(clock.now()).find { it.fingerprint == fingerprint }?.crashes ?: 1
+    }
+
+    private sealed interface Admitted {
+        class Task(
+            val task: GuardTask,
+        ) : Admitted
+
+        class Follow(
+            val first: GuardTask,
+        ) : Admitted
+
+        class Ended(
+            val result: CallResult,
+        ) : Admitted
+    }
 
     private companion object {
-        const val SLOTS = 6
+        val TICK_INTERVAL = 5.milliseconds
+        val DEFAULT_QUARANTINE = 600_000.milliseconds
     }
 }
+
+/** Returns what [result] proves about the work. */
+internal fun outcomeOf(result: CallResult): Outcome =
+    when (result) {
+        is CallResult.Answered -> Outcome.Ran(result.status)
+        is CallResult.Failed -> Outcome.of(result.kind)
+    }
+
+private fun failureOf(
+    outcome: Outcome,
+    detail: String = "",
+    retryAfter: Duration? = null,
+): CallResult =
+    when (outcome) {
+        is Outcome.Ran -> CallResult.Failed(ErrorKind.CONNECTION_LOST, "the answer of another copy is gone")
+        is Outcome.NotRun -> CallResult.Failed(outcome.kind, detail, retryAfter)
+        is Outcome.Unknown -> CallResult.Failed(outcome.kind, detail, retryAfter)
+    }
+
+private fun serviceOutcomeOf(result: CallResult): ServiceOutcome =
+    when (result) {
+        is CallResult.Answered -> ServiceOutcome.OK
+        is CallResult.Failed -> if (result.kind == ErrorKind.OVERLOADED) ServiceOutcome.SHED else ServiceOutcome.FAILED
+    }
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardCall.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardCall.kt
@@ -1,17 +1,27 @@
 package org.celeryusher.node.call
 
+import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.execution.AttemptReference
 import org.celeryusher.kernel.identity.RouteName
-import org.celeryusher.kernel.time.Moment
 
-/** One attempt of a call, as a proxy hands it to a guard. */
+/** One attempt of a call, as it reaches the guard that is to run it. */
 public class GuardCall(
-    /** Names this attempt; no two attempts share one. */
-    public val attempt: String,
+    /** Names this attempt, the life of the guard that it is meant for, and when it expires on that guard's clock. */
+    public val reference: AttemptReference,
     public val route: RouteName,
     public val rankPosition: Int,
+    public val idempotent: Boolean,
     public val request: CallRequest,
-    public val deadline: Moment,
-    /** The life of the guard's node that the proxy means, when it knows it. */
-    public val incarnationStart: Long?,
+    /** The ticket under which the work runs at most once, as text. */
     public val ticket: String?,
+    /** Whether the proxy suspects the request of stopping backend servers, so that it runs alone. */
+    public val suspected: Boolean,
+)
+
+/** What a guard answers: the result, and its load for the choice of backend servers. */
+public class GuardReply(
+    public val result: CallResult,
+    public val load: GuardLoad?,
+    /** How many crashes the request is known to have caused, when it is suspected. */
+    public val crashes: Int = 0,
 )
--- a/node/src/main/kotlin/org/celeryusher/node/call/HeaderField.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/HeaderField.kt
@@ -32,6 +32,9 @@
     /** Marks an answer after retries; answer. */
     public const val RETRIED: String = "Celeryusher-Retried"
 
+    /** Marks an answer to a ticket whose body was too large to keep; answer. */
+    public const val ANSWER_NOT_KEPT: String = "Celeryusher-Answer-Not-Kept"
+
     /** Marks a refusal by a backend server that did not run the work; answer of a backend server. */
     public const val SHED: String = "Celeryusher-Shed"
 }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -7,26 +7,26 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
-import org.celeryusher.node.call.BackendServerClient
-import org.celeryusher.node.call.CallProxy
-import org.celeryusher.node.call.CallerEndpoint
-import org.celeryusher.node.call.FrameClient
-import org.celeryusher.node.call.FrameServer
-import org.celeryusher.node.call.Guard
+import org.celeryusher.node.call.BackendServerHealth
+import org.celeryusher.node.call.BackendServerState
+import org.celeryusher.node.call.CallObserver
+import org.celeryusher.node.call.CallSide
 import org.celeryusher.node.control.LonePlatformReader
 import org.celeryusher.node.control.PlatformClient
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The node beside one backend server: proxy, guard, distributor and member in one. */
 public class Node(
     public val settings: NodeSettings,
     private val resources: SharedResources = SharedResources(),
     private val clock: ProcessClock = ProcessClock.SYSTEM,
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
 ) {
     /** This life of the node. */
     public val incarnation: Incarnation = Incarnation((System.currentTimeMillis() shl RANDOM_BITS) or random.nextLong(1L shl RANDOM_BITS))
@@ -36,39 +36,56 @@
 
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
-    private val limits = settings.limits
-    private val guard =
-        Guard(BackendServerClient(resources.httpClient, settings.backendServer, limits.maximumAnswerBytes), clock, incarnation.start)
-    private val maximumFrameBytes = maxOf(limits.maximumBodyBytes, limits.maximumAnswerBytes) + limits.maximumHeaderBytes * 2
-    private val frameServer = FrameServer(settings.addresses.frames, resources.selector, guard, clock, maximumFrameBytes)
-    private val frameClient = FrameClient(resources.selector, scope, clock, maximumFrameBytes)
-    private val proxy = CallProxy(settings.instance, routing, guard, frameClient, random)
-    private val callers = CallerEndpoint(proxy, clock, limits)
-    private val platform = PlatformClient(resources.httpClient, settings.platform, limits.maximumMessageBytes)
+    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, CallObserver.NONE)
+    private val platform = PlatformClient(resources.httpClient, settings.platform, settings.limits.maximumMessageBytes)
+    private val healthInterval = settings.control.healthIntervalMilliseconds.milliseconds
+    private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
     private val http =
         NodeHttpServer(
             listOf(
-                HttpAddress(settings.addresses.callers, callers::answer),
+                HttpAddress(settings.addresses.callers, calls::answer),
                 HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
             ),
         )
 
     /** Listens at all addresses and begins to take part in the fleet. */
     public suspend fun start() {
-        frameServer.start(scope)
+        calls.start()
         http.start()
+        scope.launch { health.run() }
         scope.launch { LonePlatformReader(platform, routing, settings.control).run() }
         if (settings.fleetSecret == null) logger.warn { "no fleet secret is set: control messages between nodes are not signed" }
     }
 
-    /** Stops gracefully: takes no new calls, lets those in flight end, then closes everything. */
+    /**
+     * Stops gracefully: tells others, still takes calls for the leave notice, then refuses new ones, lets those in flight end within the drain
+     * limit, and closes everything.
+     */
     public suspend fun stop() {
+        calls.drain()
+        delay(settings.control.leaveNoticeMilliseconds.milliseconds)
+        calls.finish()
+        close()
+    }
+
+    /** Closes everything at once, as a process that is killed would. */
+    public suspend fun close() {
         http.stop()
-        frameServer.stop()
-        frameClient.stop()
+        calls.close()
         job.cancelAndJoin()
     }
 
+    private fun serverChanged(
+        before: BackendServerState,
+        after: BackendServerState,
+    ) {
+        when (after) {
+            BackendServerState.READY -> if (before != BackendServerState.UNKNOWN) calls.serverStarted()
+            BackendServerState.DRAINING -> calls.drain()
+            BackendServerState.STARTING, BackendServerState.DOWN, BackendServerState.UNKNOWN -> Unit
+        }
+    }
+
     private companion object {
         const val RANDOM_BITS = 20
         val logger = KotlinLogging.logger {}
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/RoutingState.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/RoutingState.kt
@@ -4,6 +4,7 @@
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.membership.MembershipView
 import org.celeryusher.kernel.routing.RoutingTable
+import java.util.concurrent.CopyOnWriteArrayList
 
 /**
  * The configuration in force and the membership view of one node, and the routing table compiled from the two.
@@ -25,6 +26,13 @@
     public var current: Current = Current(null, MembershipView.EMPTY, null)
         private set
 
+    private val listeners = CopyOnWriteArrayList<(Current) -> Unit>()
+
+    /** Has [listener] called with each new value, in the thread that replaced it. */
+    public fun onChange(listener: (Current) -> Unit) {
+        listeners += listener
+    }
+
     /** Puts [snapshot] in force. */
     @Synchronized
     public fun putInForce(snapshot: ConfigurationSnapshot): Unit = replace(snapshot, current.view)
@@ -38,5 +46,6 @@
         view: MembershipView,
     ) {
         current = Current(snapshot, view, snapshot?.let { RoutingTable.compile(it, view, place) })
+        listeners.forEach { it(current) }
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
@@ -76,6 +76,10 @@
     public val healthIntervalMilliseconds: Long = 1_000,
     /** How long one watch on the platform waits. */
     public val watchMilliseconds: Long = 10_000,
+    /** The one-way latency between data centres, in microseconds. */
+    public val interDataCentreMicroseconds: Long = 1_500,
+    /** How long a node that was told to stop still takes calls, so that callers and other nodes hear of it first. */
+    public val leaveNoticeMilliseconds: Long = 2_000,
     /** When set, this node watches the platform on its own and takes no configuration from others: the baseline of measurements. */
     public val readsPlatformAlone: Boolean = false,
 )
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
@@ -96,6 +96,8 @@
             "control.floorWaitMilliseconds" to settings.control.floorWaitMilliseconds,
             "control.healthIntervalMilliseconds" to settings.control.healthIntervalMilliseconds,
             "control.watchMilliseconds" to settings.control.watchMilliseconds,
+            "control.interDataCentreMicroseconds" to settings.control.interDataCentreMicroseconds,
+            "control.leaveNoticeMilliseconds" to settings.control.leaveNoticeMilliseconds,
         ).filter { (_, number) -> number <= 0 }
             .map { (field, number) -> SettingsFault("$.$field", "$number is not above 0") }
 
