Fuzz at-most-once against an oracle that counts real runs

Cause: a 'not run' must hold for ever after, under lost, held, doubled and crossed messages, pauses, restarts and full memories.

PendingAttempts drops late and doubled answers at the proxy.

--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/execution/FuzzNode.kt
@@ -0,0 +1,215 @@
+package org.celeryusher.kernel.execution
+
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.time.Moment
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One work of a caller; [ticket] is null for a plain call. */
+internal class FuzzWork(
+    val number: Int,
+    val ticket: Ticket?,
+) {
+    val fingerprint = RequestFingerprint(0, number.toLong())
+}
+
+/** A call that a proxy or owner is making. */
+internal class FuzzCall(
+    val work: FuzzWork,
+    val attempts: Int,
+)
+
+internal sealed interface FuzzMessage {
+    /** A guard states its life and its clock. */
+    data class Hello(
+        val guard: Int,
+        val life: Long,
+        val uptime: Uptime,
+    ) : FuzzMessage
+
+    class Attempt(
+        val reference: AttemptReference,
+        val work: FuzzWork,
+        val proxy: Int,
+        val idempotent: Boolean = false,
+    ) : FuzzMessage
+
+    class Cancel(
+        val reference: AttemptReference,
+        val proxy: Int,
+    ) : FuzzMessage
+
+    class Resolve(
+        val reference: AttemptReference,
+        val proxy: Int,
+    ) : FuzzMessage
+
+    data class Answer(
+        val attempt: AttemptId,
+        val outcome: Outcome,
+    ) : FuzzMessage
+
+    class TicketRequest(
+        val work: FuzzWork,
+    ) : FuzzMessage
+}
+
+/** One life of a node: proxy, ticket owner and guard at once, built of the decisions under test. */
+internal class FuzzNode(
+    val number: Int,
+    val life: Long,
+    private val startedAt: Long,
+    private val world: FuzzWorld,
+) {
+    private val guard = AttemptRegistry(life, AttemptLimits(maximumEntries = 3, maximumIdempotentEntries = 1, retention = 300.milliseconds))
+    private val tickets = TicketRegistry(InstanceName("node-$number"), life, TicketLimits(4, 400.milliseconds, 600.milliseconds))
+    private val pending = PendingAttempts<FuzzCall>()
+    private val sent = ArrayList<FuzzMessage.Attempt>()
+    private val targets = HashMap<AttemptId, Int>()
+    private val clocks = HashMap<Int, Pair<Long, RemoteClock>>()
+    private val queue = ArrayList<FuzzMessage.Attempt>()
+    private val running = ArrayList<FuzzMessage.Attempt>()
+    private val budget = RetryBudget(share = 1.0)
+
+    private fun uptime() = Uptime(world.now - startedAt)
+
+    private fun moment() = Moment(0) + world.now.milliseconds
+
+    fun hello() = FuzzMessage.Hello(number, life, uptime())
+
+    fun issue(): Ticket? = tickets.issue(ROUTE, uptime(), world.random).getOrNull()
+
+    fun receive(message: FuzzMessage) =
+        when (message) {
+            is FuzzMessage.Hello -> clocks[message.guard] = message.life to RemoteClock(message.uptime, moment())
+            is FuzzMessage.Attempt -> arrive(message)
+            is FuzzMessage.Cancel -> reply(message.proxy, message.reference, guard.cancel(message.reference, uptime()))
+            is FuzzMessage.Resolve -> resolve(message)
+            is FuzzMessage.Answer -> answered(message)
+            is FuzzMessage.TicketRequest -> useTicket(message.work)
+        }
+
+    /** Makes the next attempt of [call] at the guard [target], or answers when it cannot be addressed. */
+    fun call(
+        call: FuzzCall,
+        target: Int,
+    ) {
+        val (targetLife, clock) = clocks[target] ?: return settle(call, Outcome.NotRun(ErrorKind.CONNECTION_REFUSED))
+        val expiresAt = clock.earliest(moment()) + (world.random.nextInt(400) + 1).milliseconds
+        val reference = AttemptReference(AttemptId.random(world.random), targetLife, expiresAt)
+        val message = FuzzMessage.Attempt(reference, call.work, number)
+        pending.sent(reference.id, call)
+        sent += message
+        targets[reference.id] = target
+        world.send(target, message)
+    }
+
+    fun startNext(choice: Int) {
+        if (queue.isEmpty()) return
+        val attempt = queue.removeAt(choice % queue.size)
+        when (val start = guard.start(attempt.reference, attempt.idempotent, uptime())) {
+            AttemptStart.Run -> {
+                world.oracle.ran(attempt.work.number, attempt.reference.id)
+                running += attempt
+            }
+            is AttemptStart.Refused -> reply(attempt.proxy, attempt.reference, start.outcome)
+        }
+    }
+
+    fun refuseNext(choice: Int) {
+        if (queue.isEmpty()) return
+        val attempt = queue.removeAt(choice % queue.size)
+        reply(attempt.proxy, attempt.reference, guard.refuse(attempt.reference, ErrorKind.DRAINING, uptime()))
+    }
+
+    fun finishNext(choice: Int) {
+        if (running.isEmpty()) return
+        val attempt = running.removeAt(choice % running.size)
+        guard.finish(attempt.reference.id, Outcome.Ran(OK))
+        reply(attempt.proxy, attempt.reference, Outcome.Ran(OK))
+    }
+
+    fun crashServer() {
+        val crashed = guard.serverCrashed().toSet()
+        running.filter { it.reference.id in crashed }.forEach {
+            reply(it.proxy, it.reference, Outcome.Unknown(ErrorKind.SERVER_CRASHED))
+        }
+        running.clear()
+    }
+
+    fun ask(
+        choice: Int,
+        cancel: Boolean,
+    ) {
+        if (sent.isEmpty()) return
+        val reference = sent[choice % sent.size].reference
+        val message = if (cancel) FuzzMessage.Cancel(reference, number) else FuzzMessage.Resolve(reference, number)
+        world.send(targets.getValue(reference.id), message)
+    }
+
+    fun giveUp(choice: Int) {
+        if (sent.isEmpty()) return
+        pending.giveUp(sent[choice % sent.size].reference.id)?.let { settle(it, Outcome.Unknown(ErrorKind.DEADLINE_WHILE_RUNNING)) }
+    }
+
+    private fun arrive(message: FuzzMessage.Attempt) =
+        when (val arrival = guard.arrive(message.reference, message.idempotent, uptime())) {
+            AttemptArrival.Accepted -> queue += message
+            is AttemptArrival.Refused -> reply(message.proxy, message.reference, arrival.outcome)
+            is AttemptArrival.Duplicate -> replyIfSettled(message.proxy, message.reference, arrival.state)
+        }
+
+    private fun resolve(message: FuzzMessage.Resolve) =
+        replyIfSettled(message.proxy, message.reference, guard.resolve(message.reference, uptime()))
+
+    private fun replyIfSettled(
+        proxy: Int,
+        reference: AttemptReference,
+        state: AttemptState,
+    ) {
+        if (state is AttemptState.Settled) reply(proxy, reference, state.outcome)
+    }
+
+    private fun reply(
+        proxy: Int,
+        reference: AttemptReference,
+        outcome: Outcome,
+    ) {
+        world.oracle.claimOfAttempt(reference.id, outcome)
+        world.send(proxy, FuzzMessage.Answer(reference.id, outcome))
+    }
+
+    private fun answered(answer: FuzzMessage.Answer) {
+        val call = pending.answered(answer.attempt) ?: return
+        val progress =
+            CallProgress(false, call.attempts, 3, DeadlineBudget(Moment.FAR_FUTURE), 1, requestIsRetry = false, answerIsRetried = false)
+        when (RetryPolicy.decide(answer.outcome, progress, budget, moment())) {
+            is RetryDecision.Answer -> settle(call, answer.outcome)
+            is RetryDecision.Retry -> call(FuzzCall(call.work, call.attempts + 1), world.random.nextInt(FuzzWorld.NODES))
+        }
+    }
+
+    private fun settle(
+        call: FuzzCall,
+        outcome: Outcome,
+    ) {
+        call.work.ticket?.let { tickets.finish(it.id, outcome, answer = null, uptime()) }
+        world.oracle.claimOfWork(call.work.number, outcome)
+    }
+
+    private fun useTicket(work: FuzzWork) {
+        val ticket = Ticket.decode(checkNotNull(work.ticket).encode()).getOrNull() ?: error("the ticket does not survive its text form")
+        when (val use = tickets.use(ticket, ROUTE, work.fingerprint, uptime())) {
+            TicketUse.Run -> call(FuzzCall(work, attempts = 1), world.random.nextInt(FuzzWorld.NODES))
+            TicketUse.InProgress -> world.oracle.claimOfWork(work.number, Outcome.of(ErrorKind.TICKET_IN_PROGRESS))
+            is TicketUse.Recorded -> world.oracle.claimOfWork(work.number, use.record.outcome)
+            is TicketUse.Refused -> world.oracle.claimOfWork(work.number, Outcome.of(use.kind))
+        }
+    }
+
+    private companion object {
+        private const val OK = 200
+        private val ROUTE = RouteName("collect")
+    }
+}
