Add stand-ins of the platform and of backend servers

Cause: the node, the demo and the measurements need a platform and backend servers that can be told to fail.

Change: PlatformStandIn (configuration, watch, lagging instance list, call counts and cap, seven faults) and BackendServerStandIn (slots, queue, service time by path, connection limit, cold start, drain, pause, crash on a marker, damaged answers, reports that lag or lie), with EchoAnswer to check an answer from outside and WorkLedger to count runs. Both listen by ktor-network sockets and the CIO parser on one shared selector: a CIO engine blocks one I/O thread a connector, and a process carries hundreds of stand-ins.

A watch with waitMilliseconds=0 answered 204 though news was there; a test found it. The JDK's client sends a GET again by itself when its pooled connection breaks, so tests and load generators use POST where one run matters.

--- a/standin/src/main/kotlin/org/celeryusher/standin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.celeryusher.standin
-
-internal const val PLACEHOLDER: Int = 1
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/http/HttpListener.kt
@@ -0,0 +1,260 @@
+package org.celeryusher.standin.http
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.http.cio.ParserException
+import io.ktor.http.cio.Request
+import io.ktor.http.cio.parseHttpBody
+import io.ktor.http.cio.parseRequest
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.toByteArray
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.celeryusher.kernel.identity.Address
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+
+/**
+ * An HTTP/1.1 listener on ktor-network sockets and the CIO parser.
+ *
+ * All listeners of a process share one selector and the default dispatcher: a Ktor CIO engine blocks one I/O thread a connector, and
+ * one process carries hundreds of stand-ins. It also gives what an engine hides: connection limits, abrupt closing, and the
+ * cancellation of a handler whose caller closes the connection.
+ */
+internal class HttpListener(
+    private val host: String,
+    private val limits: ConnectionLimits,
+    private val handler: suspend (HttpCall) -> HttpReply,
+) {
+    private val connections = ConcurrentHashMap.newKeySet<Socket>()
+    private val refused = AtomicLong()
+    private var scope: CoroutineScope? = null
+    private var socket: ServerSocket? = null
+
+    /** How many connections are open. */
+    val openConnections: Int get() = connections.size
+
+    /** How many connections were closed on arrival, because the limit was reached. */
+    val refusedConnections: Long get() = refused.get()
+
+    /** Binds [port], or a free one for 0, and returns the address that is bound. */
+    @Synchronized
+    fun open(port: Int): Address {
+        val bound = runBlocking { aSocket(sharedSelector).tcp().bind(host, port) { backlogSize = ACCEPT_BACKLOG } }
+        val opened = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+        socket = bound
+        scope = opened
+        opened.launch { acceptAll(bound, opened) }
+        return Address(host, (bound.localAddress as InetSocketAddress).port)
+    }
+
+    /** Stops listening, cancels each running handler and closes each connection at once. Does nothing when it is not open. */
+    @Synchronized
+    fun close() {
+        socket?.close()
+        scope?.cancel()
+        connections.forEach(Socket::close)
+        connections.clear()
+        socket = null
+        scope = null
+    }
+
+    private suspend fun acceptAll(
+        bound: ServerSocket,
+        scope: CoroutineScope,
+    ) {
+        while (currentCoroutineContext().isActive) {
+            val accepted =
+                try {
+                    bound.accept()
+                } catch (_: IOException) {
+                    return
+                }
+            if (connections.size >= limits.maximum) {
+                refused.incrementAndGet()
+                accepted.close()
+            } else {
+                connections += accepted
+                scope.launch { serve(accepted) }.invokeOnCompletion { forget(accepted) }
+            }
+        }
+    }
+
+    private fun forget(connection: Socket) {
+        connections -= connection
+        connection.close()
+    }
+
+    private suspend fun serve(connection: Socket) {
+        try {
+            if (limits.openingCost.isPositive()) delay(limits.openingCost)
+            val input = connection.openReadChannel()
+            val output = connection.openWriteChannel()
+            while (serveNext(input, output)) currentCoroutineContext().ensureActive()
+        } catch (_: IOException) {
+            return
+        } catch (_: ParserException) {
+            return
+        }
+    }
+
+    private suspend fun serveNext(
+        input: ByteReadChannel,
+        output: ByteWriteChannel,
+    ): Boolean {
+        val request = parseRequest(input) ?: return false
+        val call =
+            try {
+                readCall(request, input)
+            } finally {
+                request.release()
+            }
+        return when (val reply = replyUnlessClosed(call, input)) {
+            null, HttpReply.Closed -> {
+                false
+            }
+
+            is HttpReply.Whole -> {
+                write(output, reply.status, reply.headers, reply.body, reply.body.size)
+                call.header("Connection")?.lowercase() != "close"
+            }
+
+            is HttpReply.WrongLength -> {
+                write(output, reply.status, reply.headers, reply.body, reply.declaredLength)
+                output.flushAndClose()
+                false
+            }
+        }
+    }
+
+    /** Runs the handler, and cancels it and returns null when the caller closes the connection before the answer. */
+    private suspend fun replyUnlessClosed(
+        call: HttpCall,
+        input: ByteReadChannel,
+    ): HttpReply? =
+        coroutineScope {
+            val answer = async { handler(call) }
+            val closeWatch = launch { cancelWhenClosed(input, answer) }
+            try {
+                answer.await()
+            } catch (cancelled: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                null
+            } finally {
+                closeWatch.cancel()
+            }
+        }
+
+    private suspend fun cancelWhenClosed(
+        input: ByteReadChannel,
+        answer: Job,
+    ) {
+        val open =
+            try {
+                input.awaitContent()
+            } catch (_: IOException) {
+                false
+            }
+        if (!open) answer.cancel()
+    }
+
+    private suspend fun readCall(
+        request: Request,
+        input: ByteReadChannel,
+    ): HttpCall {
+        val headers = LinkedHashMap<String, String>()
+        for (offset in request.headers.offsets()) {
+            headers[
+                request.headers
+                    .nameAtOffset(offset)
+                    .toString()
+                    .lowercase(),
+            ] = request.headers.valueAtOffset(offset).toString()
+        }
+        return HttpCall(request.method.value, request.uri.toString(), headers, readBody(request, headers, input))
+    }
+
+    private suspend fun readBody(
+        request: Request,
+        headers: Map<String, String>,
+        input: ByteReadChannel,
+    ): ByteArray {
+        val length = headers["content-length"]?.toIntOrNull()
+        return when {
+            length != null -> input.readByteArray(length)
+            headers["transfer-encoding"] == null -> ByteArray(0)
+            else -> readEncodedBody(request, input)
+        }
+    }
+
+    private suspend fun readEncodedBody(
+        request: Request,
+        input: ByteReadChannel,
+    ): ByteArray =
+        coroutineScope {
+            val body = ByteChannel()
+            launch {
+                parseHttpBody(request.headers, input, body)
+                body.flushAndClose()
+            }
+            body.toByteArray()
+        }
+
+    private suspend fun write(
+        output: ByteWriteChannel,
+        status: Int,
+        headers: List<HttpHeader>,
+        body: ByteArray,
+        declaredLength: Int,
+    ) {
+        val head =
+            buildString {
+                append("HTTP/1.1 $status ${HttpStatusCode.fromValue(status).description}\r\n")
+                headers.forEach { append("${it.name}: ${it.value}\r\n") }
+                if (status != HttpStatusCode.NoContent.value) append("Content-Length: $declaredLength\r\n")
+                append("\r\n")
+            }
+        output.writeFully(head.encodeToByteArray())
+        for (start in body.indices step WRITE_CHUNK_BYTES) {
+            output.writeFully(body, start, minOf(start + WRITE_CHUNK_BYTES, body.size))
+            output.flush()
+        }
+        output.flush()
+    }
+
+    private companion object {
+        const val ACCEPT_BACKLOG = 4096
+        const val WRITE_CHUNK_BYTES = 16 * 1024
+        val sharedSelector: SelectorManager by lazy { SelectorManager(Dispatchers.IO) }
+    }
+}
+
+/** How many connections a listener keeps, and how long a new one waits before its first request is read. */
+internal data class ConnectionLimits(
+    val maximum: Int = Int.MAX_VALUE,
+    val openingCost: Duration = Duration.ZERO,
+)
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/platform/PlatformStandIn.kt
@@ -0,0 +1,211 @@
+package org.celeryusher.standin.platform
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.longOrNull
+import org.celeryusher.kernel.configuration.ConfigurationDocument
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.time.Moment
+import org.celeryusher.standin.http.ConnectionLimits
+import org.celeryusher.standin.http.HttpCall
+import org.celeryusher.standin.http.HttpHeader
+import org.celeryusher.standin.http.HttpListener
+import org.celeryusher.standin.http.HttpReply
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How a platform's stand-in is set up. A [port] of 0 takes a free one. */
+public data class PlatformOptions(
+    public val host: String = "127.0.0.1",
+    public val port: Int = 0,
+    /** Calls in one second beyond this number are answered with 429. */
+    public val callsPerSecond: Int = 2_000,
+    /** How long a change of the instance list stays invisible to readers. */
+    public val instanceListLag: Duration = Duration.ZERO,
+)
+
+/**
+ * A stand-in of the platform: a configuration service that is only read and watched, and a lagging list of instances.
+ *
+ * Readers see `GET /configuration` and `GET /instances`. Operators publish by [publish], [setInstances] and [markLeaving]; nothing of
+ * that is reachable from the readers' port. A waiting watch holds one connection and one suspended coroutine; the document's bytes
+ * are shared by all of them, and at most one write buffer a connection is in use.
+ */
+public class PlatformStandIn(
+    private val options: PlatformOptions = PlatformOptions(),
+) {
+    private val state = MutableStateFlow(PlatformState())
+    private val counter = PlatformCallCounter(options.callsPerSecond)
+    private val instances = InstanceListHistory()
+    private val callNumbers = AtomicLong()
+    private val openWatchCount = AtomicInteger()
+    private val listener = HttpListener(options.host, ConnectionLimits(), ::answer)
+    private var boundAddress: Address? = null
+
+    /** Where readers call. Stays the same while the port is closed by a fault. */
+    public val address: Address get() = checkNotNull(boundAddress) { "the platform's stand-in is not started" }
+
+    /** The calls so far. */
+    public val counts: PlatformCallCounts get() = counter.snapshot()
+
+    /** How many watches wait at present. */
+    public val openWatches: Int get() = openWatchCount.get()
+
+    /** The version that readers are meant to see, or null before the first publication. */
+    public val publishedVersion: Long? get() =
+        state.value.versions
+            .lastOrNull()
+            ?.version
+
+    /** The instance list as it truly is, without lag. */
+    public val instanceList: PlatformInstanceList get() = instances.current
+
+    /** The faults in force. Setting them takes effect at once, also for waiting watches. */
+    public var faults: List<PlatformFault>
+        get() = state.value.faults
+        set(value) = applyFaults(value)
+
+    /** Binds the port and returns this. */
+    public fun start(): PlatformStandIn {
+        boundAddress = listener.open(options.port)
+        return this
+    }
+
+    /** Closes the port and each connection. */
+    public fun stop() {
+        listener.close()
+    }
+
+    /**
+     * Publishes the bytes of a document as they are, valid or not, and returns the version that they are filed under.
+     *
+     * Bytes without a readable `version` are filed under the version after the last one.
+     */
+    public fun publish(document: ByteArray): Long {
+        val version = versionOf(document) ?: ((publishedVersion ?: 0) + 1)
+        state.update { it.withVersion(PublishedVersion(version, document)) }
+        logger.info { "published version $version, ${document.size} bytes" }
+        return version
+    }
+
+    /** Publishes [document]. */
+    public fun publish(document: ConfigurationDocument): Long = publish(Json.encodeToString(document).encodeToByteArray())
+
+    /** Replaces the instance list; readers see it after the lag. */
+    public fun setInstances(list: List<PlatformInstance>) {
+        instances.replace(list, now())
+    }
+
+    /** Marks [instance] as leaving; readers see it after the lag. */
+    public fun markLeaving(instance: InstanceName) {
+        instances.markLeaving(instance, now())
+    }
+
+    @Synchronized
+    private fun applyFaults(faults: List<PlatformFault>) {
+        val wasClosed = PlatformFault.ConnectionRefused in state.value.faults
+        val closes = PlatformFault.ConnectionRefused in faults
+        state.update { it.copy(faults = faults) }
+        if (closes && !wasClosed) listener.close()
+        if (wasClosed && !closes) listener.open(address.port)
+    }
+
+    private suspend fun answer(call: HttpCall): HttpReply {
+        val kind = kindOf(call) ?: return HttpReply.json(NOT_FOUND, """{"error":"no such resource"}""")
+        if (!counter.admit(kind, now())) return HttpReply.json(TOO_MANY_REQUESTS, RATE_MESSAGE, listOf(HttpHeader("Retry-After", "1")))
+        if (state.value.isUnavailable) return unavailable()
+        state.value.answerDelay
+            .takeIf(Duration::isPositive)
+            ?.let { delay(it) }
+        return when (kind) {
+            PlatformCallKind.CONFIGURATION_READ -> configurationReply()
+            PlatformCallKind.WATCH -> watchReply(call)
+            PlatformCallKind.INSTANCE_LIST -> instanceListReply()
+        }
+    }
+
+    private fun kindOf(call: HttpCall): PlatformCallKind? =
+        when {
+            call.method != "GET" -> null
+            call.path == "/instances" -> PlatformCallKind.INSTANCE_LIST
+            call.path != "/configuration" -> null
+            call.parameter("after") != null -> PlatformCallKind.WATCH
+            else -> PlatformCallKind.CONFIGURATION_READ
+        }
+
+    private suspend fun watchReply(call: HttpCall): HttpReply {
+        val after = call.parameter("after")?.toLongOrNull() ?: return badRequest("after")
+        val wait = (call.parameter("waitMilliseconds") ?: "0").toLongOrNull() ?: return badRequest("waitMilliseconds")
+        openWatchCount.incrementAndGet()
+        try {
+            val due = state.value.hasNews(after) || waitForNews(after, wait.milliseconds.coerceAtMost(LONGEST_WATCH))
+            return if (due) configurationReply() else HttpReply.Whole(NO_CONTENT)
+        } finally {
+            openWatchCount.decrementAndGet()
+        }
+    }
+
+    private suspend fun waitForNews(
+        after: Long,
+        wait: Duration,
+    ): Boolean = withTimeoutOrNull(wait) { state.first { it.hasNews(after) } } != null
+
+    private fun configurationReply(): HttpReply {
+        val current = state.value
+        if (current.isUnavailable) return unavailable()
+        val served =
+            current.servedTo(callNumbers.getAndIncrement())
+                ?: return HttpReply.json(NOT_FOUND, """{"error":"nothing is published"}""")
+        val kept = (served.bytes.size * current.keptShare).toInt()
+        return if (kept < served.bytes.size) {
+            HttpReply.WrongLength(OK, served.bytes.copyOf(kept), served.bytes.size, jsonType)
+        } else {
+            HttpReply.Whole(OK, served.bytes, jsonType)
+        }
+    }
+
+    private fun instanceListReply(): HttpReply {
+        val lag = state.value.listLag ?: options.instanceListLag
+        return HttpReply.json(OK, listFormat.encodeToString(instances.visible(now(), lag)))
+    }
+
+    private fun unavailable(): HttpReply = HttpReply.json(UNAVAILABLE, """{"error":"the platform is down"}""")
+
+    private fun badRequest(parameter: String): HttpReply = HttpReply.json(BAD_REQUEST, """{"error":"$parameter is not a number"}""")
+
+    private fun now(): Moment = Moment(System.nanoTime())
+
+    private companion object {
+        const val OK = 200
+        const val NO_CONTENT = 204
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        const val TOO_MANY_REQUESTS = 429
+        const val UNAVAILABLE = 503
+        const val RATE_MESSAGE = """{"error":"over the call rate"}"""
+        val LONGEST_WATCH = 120.seconds
+        val jsonType = listOf(HttpHeader("Content-Type", "application/json"))
+        val listFormat = Json { encodeDefaults = true }
+        val logger = KotlinLogging.logger {}
+
+        fun versionOf(document: ByteArray): Long? =
+            runCatching {
+                Json
+                    .parseToJsonElement(document.decodeToString())
+                    .jsonObject["version"]
+                    ?.jsonPrimitive
+                    ?.longOrNull
+            }.getOrNull()
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/server/SlotPool.kt
@@ -0,0 +1,40 @@
+package org.celeryusher.standin.server
+
+import kotlinx.coroutines.sync.Semaphore
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The slots of one backend server and the short queue before them. */
+internal class SlotPool(
+    slots: Int,
+    private val queueLimit: Int,
+) {
+    private val permits = Semaphore(slots)
+    private val runningCount = AtomicInteger()
+    private val queuedCount = AtomicInteger()
+
+    val running: Int get() = runningCount.get()
+    val queued: Int get() = queuedCount.get()
+
+    /** Takes a slot, waiting in the queue for it, and returns false when the queue is full. */
+    suspend fun acquire(): Boolean {
+        val acquired = permits.tryAcquire() || waitForPermit()
+        if (acquired) runningCount.incrementAndGet()
+        return acquired
+    }
+
+    fun release() {
+        runningCount.decrementAndGet()
+        permits.release()
+    }
+
+    private suspend fun waitForPermit(): Boolean {
+        val position = queuedCount.incrementAndGet()
+        try {
+            if (position > queueLimit) return false
+            permits.acquire()
+            return true
+        } finally {
+            queuedCount.decrementAndGet()
+        }
+    }
+}
