State the cases of retries, attempts, tickets and crash requests

Cause: each decision needs its table, and the traces of late, crossed and doubled messages, retry storms and crash requests their stated outcomes.

Change: tests only. A chain of 20 services whose bottom always fails tries the bottom 3 times, as one level would; 1000 overloaded first tries with a budget of a tenth are retried 100 to 110 times.

--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/execution/AttemptRegistryTest.kt
@@ -0,0 +1,116 @@
+package org.celeryusher.kernel.execution
+
+import org.celeryusher.kernel.error.ErrorKind
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class AttemptRegistryTest {
+    private val attempt = reference(1)
+    private val ran = Outcome.Ran(200)
+    private val cancelled = Outcome.NotRun(ErrorKind.CANCELLED_BEFORE_START)
+    private val expired = Outcome.NotRun(ErrorKind.DEADLINE_BEFORE_START)
+
+    private fun reference(
+        id: Long,
+        life: Long = LIFE,
+        expiresAt: Long = 100,
+    ) = AttemptReference(AttemptId(0, id), life, Uptime(expiresAt))
+
+    private fun registry(entries: Int = 8) =
+        AttemptRegistry(LIFE, AttemptLimits(entries, maximumIdempotentEntries = 1, retention = 50.milliseconds))
+
+    private fun AttemptRegistry.arrive(
+        reference: AttemptReference,
+        at: Long = 0,
+    ) = arrive(reference, idempotent = false, Uptime(at))
+
+    private fun AttemptRegistry.start(
+        reference: AttemptReference,
+        at: Long = 0,
+    ) = start(reference, idempotent = false, Uptime(at))
+
+    @Test
+    fun tracesEndWithTheStatedOutcome() {
+        class Case(
+            val name: String,
+            val events: AttemptRegistry.() -> Unit,
+            val resolvedAt: Long,
+            val expected: AttemptState,
+        )
+        val cases =
+            listOf(
+                Case("never came", {}, 10, AttemptState.Settled(cancelled)),
+                Case("never came, asked after its expiry", {}, 120, AttemptState.Settled(expired)),
+                Case("nobody remembers", {}, 150, AttemptState.Settled(Outcome.Unknown(ErrorKind.DEADLINE_WHILE_RUNNING))),
+                Case("waits", { arrive(attempt) }, 10, AttemptState.Queued),
+                Case("waited too long", { arrive(attempt) }, 100, AttemptState.Settled(expired)),
+                Case(
+                    "waits but starts too late",
+                    { arrive(attempt).also { start(attempt, at = 100) } },
+                    100,
+                    AttemptState.Settled(expired),
+                ),
+                Case("runs", { arrive(attempt).also { start(attempt) } }, 10, AttemptState.Running),
+                Case("still runs long after its expiry", { arrive(attempt).also { start(attempt) } }, 900, AttemptState.Running),
+                Case("cancelled in time", { arrive(attempt).also { cancel(attempt, Uptime(1)) } }, 10, AttemptState.Settled(cancelled)),
+                Case("cancelled as it runs", {
+                    arrive(attempt)
+                    start(attempt)
+                    assertEquals(Outcome.Unknown(ErrorKind.CANCELLED_WHILE_RUNNING), cancel(attempt, Uptime(1)))
+                }, 10, AttemptState.Running),
+                Case("ran, a late copy comes", {
+                    arrive(attempt)
+                    start(attempt)
+                    finish(attempt.id, ran)
+                    assertEquals(AttemptArrival.Duplicate(AttemptState.Settled(ran)), arrive(attempt, at = 20))
+                }, 30, AttemptState.Settled(ran)),
+                Case("cancel overtakes the attempt", {
+                    assertEquals(cancelled, cancel(attempt, Uptime(1)))
+                    assertEquals(AttemptArrival.Duplicate(AttemptState.Settled(cancelled)), arrive(attempt, at = 2))
+                    assertEquals(AttemptStart.Refused(cancelled), start(attempt, at = 2))
+                }, 10, AttemptState.Settled(cancelled)),
+                Case("the server crashes", {
+                    arrive(attempt)
+                    start(attempt)
+                    assertEquals(listOf(attempt.id), serverCrashed())
+                    finish(attempt.id, ran)
+                }, 10, AttemptState.Settled(Outcome.Unknown(ErrorKind.SERVER_CRASHED))),
+                Case("handed back by a drain", {
+                    arrive(attempt)
+                    refuse(attempt, ErrorKind.DRAINING, Uptime(1))
+                }, 10, AttemptState.Settled(Outcome.NotRun(ErrorKind.DRAINING))),
+            )
+        for (case in cases) {
+            assertEquals(case.expected, registry().apply(case.events).resolve(attempt, Uptime(case.resolvedAt)), case.name)
+        }
+    }
+
+    @Test
+    fun aCopyForAnotherLifeNeverRunsAndClaimsNothing() {
+        val other = reference(1, life = LIFE - 1)
+        val unknown = Outcome.Unknown(ErrorKind.CONNECTION_LOST)
+        assertEquals(AttemptArrival.Refused(unknown), registry().arrive(other))
+        assertEquals(AttemptStart.Refused(unknown), registry().start(other))
+        assertEquals(unknown, registry().cancel(other, Uptime(0)))
+        assertEquals(AttemptState.Settled(unknown), registry().resolve(other, Uptime(0)))
+    }
+
+    @Test
+    fun aFullMemoryRefusesNewWorkAndKeepsRefusingIt() {
+        val registry = registry(entries = 2)
+        val overloaded = AttemptArrival.Refused(Outcome.NotRun(ErrorKind.OVERLOADED))
+        registry.arrive(reference(1, expiresAt = 10))
+        registry.arrive(reference(2, expiresAt = 300))
+        assertEquals(overloaded, registry.arrive(reference(3, expiresAt = 200)))
+        assertEquals(AttemptArrival.Accepted, registry.arrive(reference(4), idempotent = true, Uptime(0)))
+        assertEquals(2, registry.size)
+        registry.refuse(reference(1, expiresAt = 10), ErrorKind.DRAINING, Uptime(5))
+        assertEquals(overloaded, registry.arrive(reference(3, expiresAt = 200), at = 70), "room again, but it was answered not run")
+        assertEquals(AttemptArrival.Accepted, registry.arrive(reference(5, expiresAt = 201), at = 70))
+    }
+
+    private companion object {
+        private const val LIFE = 7L
+    }
+}
--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/execution/RetryPolicyTest.kt
@@ -0,0 +1,121 @@
+package org.celeryusher.kernel.execution
+
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.time.Moment
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+
+class RetryPolicyTest {
+    private val now = Moment(0)
+    private val first = CallProgress(true, 1, 3, DeadlineBudget(now + 100.milliseconds), 2, requestIsRetry = false, answerIsRetried = false)
+
+    @Test
+    fun onlyIdempotentOrProvenNotRunWorkIsRetried() {
+        val lost = Outcome.Unknown(ErrorKind.CONNECTION_LOST)
+        val busy = Outcome.NotRun(ErrorKind.OVERLOADED)
+        val cases: List<Triple<Outcome, CallProgress, AnswerReason?>> =
+            listOf(
+                Triple(Outcome.Ran(200), first, AnswerReason.RAN),
+                Triple(Outcome.Ran(500), first, AnswerReason.RAN),
+                Triple(lost, first, null),
+                Triple(lost, first.copy(idempotent = false), AnswerReason.MAY_HAVE_RUN),
+                Triple(busy, first, null),
+                Triple(busy, first.copy(idempotent = false), null),
+                Triple(Outcome.NotRun(ErrorKind.CONNECTION_REFUSED), first.copy(idempotent = false), null),
+                Triple(Outcome.NotRun(ErrorKind.QUARANTINED), first, AnswerReason.NOT_RETRYABLE),
+                Triple(Outcome.NotRun(ErrorKind.CANCELLED_BEFORE_START), first, AnswerReason.NOT_RETRYABLE),
+                Triple(Outcome.Unknown(ErrorKind.TICKET_OWNER_GONE), first, AnswerReason.NOT_RETRYABLE),
+                Triple(busy, first.copy(requestIsRetry = true), AnswerReason.RETRIED_ABOVE),
+                Triple(busy, first.copy(answerIsRetried = true), AnswerReason.RETRIED_BELOW),
+                Triple(busy, first.copy(attempts = 3), AnswerReason.ATTEMPTS_SPENT),
+                Triple(busy, first.copy(untriedEndpoints = 0), AnswerReason.NO_OTHER_ENDPOINT),
+                Triple(busy, first.copy(deadline = DeadlineBudget(now)), AnswerReason.DEADLINE),
+            )
+        for ((outcome, call, reason) in cases) {
+            val decision = RetryPolicy.decide(outcome, call, RetryBudget(0.1), now)
+            assertEquals(reason, (decision as? RetryDecision.Answer)?.reason, "$outcome after $call")
+        }
+    }
+
+    @Test
+    fun everyErrorKindHasTheOutcomeOfItsTable() {
+        ErrorKind.entries.forEach { assertEquals(it.runStatus, Outcome.of(it).runStatus, it.name) }
+    }
+
+    @Test
+    fun aStormIsRetriedWithinTheBudgetAndADrainIsNot() {
+        val budget = RetryBudget(share = 0.1)
+
+        fun retriesOf(kind: ErrorKind) =
+            (1..1_000).count {
+                budget.firstTry()
+                RetryPolicy.decide(Outcome.NotRun(kind), first, budget, now) is RetryDecision.Retry
+            }
+        assertTrue(retriesOf(ErrorKind.OVERLOADED) in 100..110)
+        assertEquals(1_000, retriesOf(ErrorKind.DRAINING))
+    }
+
+    @Test
+    fun aBudgetThatIsSpentStopsTheLevelsAboveToo() {
+        val decision = RetryPolicy.decide(Outcome.NotRun(ErrorKind.OVERLOADED), first, RetryBudget(0.0, reserve = 0.0), now)
+        assertEquals(RetryDecision.Answer(Outcome.NotRun(ErrorKind.OVERLOADED), AnswerReason.BUDGET_SPENT, markRetried = true), decision)
+    }
+
+    @Test
+    fun aChainOfTwentyTriesTheBottomAsOftenAsOneLevelWould() {
+        val chain = Chain(levels = 20)
+        val (outcome, isMarked) = chain.call(level = 1, isRetry = false)
+        assertEquals(Outcome.Unknown(ErrorKind.SERVER_CRASHED), outcome)
+        assertTrue(isMarked)
+        assertEquals(first.maximumAttempts, chain.triesAtTheBottom)
+    }
+
+    @Test
+    fun timeLeftTravelsWithoutTheWayThereAndBack() {
+        val budget = DeadlineBudget.onArrival(20, limit = 2_000.milliseconds, now)
+        assertEquals(17, budget.millisecondsForNextHop(oneWay = 1.5.milliseconds, now))
+        assertEquals(null, budget.millisecondsForNextHop(oneWay = 1.5.milliseconds, now + 16.5.milliseconds))
+        assertTrue(DeadlineBudget.onArrival(-5, limit = 2_000.milliseconds, now).hasPassed(now))
+        assertEquals(2_000.milliseconds, DeadlineBudget.onArrival(Long.MAX_VALUE, limit = 2_000.milliseconds, now).left(now))
+        assertFalse(DeadlineBudget.onArrival(null, limit = 2_000.milliseconds, now).hasPassed(now))
+        val clock = RemoteClock(Uptime(1_000), receivedAt = now)
+        val expiry = budget.expiryAt(clock, oneWay = 1.5.milliseconds, now + 10.milliseconds)
+        assertEquals(Uptime(1_016), expiry, "the other clock's 9.99 ms, and 7 ms left, err early")
+    }
+
+    /** A chain of services in which the bottom always fails, each level with proxies of its own. */
+    private inner class Chain(
+        private val levels: Int,
+    ) {
+        var triesAtTheBottom = 0
+        private val budgets = List(levels + 1) { RetryBudget(0.1) }
+
+        fun call(
+            level: Int,
+            isRetry: Boolean,
+        ): Pair<Outcome, Boolean> {
+            var attempts = 0
+            while (true) {
+                attempts++
+                val (outcome, isRetried) = callBelow(level, isRetry || attempts > 1)
+                val progress = first.copy(attempts = attempts, requestIsRetry = isRetry, answerIsRetried = isRetried)
+                when (val decision = RetryPolicy.decide(outcome, progress, budgets[level], now)) {
+                    is RetryDecision.Retry -> continue
+                    is RetryDecision.Answer -> return decision.outcome to decision.markRetried
+                }
+            }
+        }
+
+        private fun callBelow(
+            level: Int,
+            isRetry: Boolean,
+        ): Pair<Outcome, Boolean> {
+            if (level < levels) return call(level + 1, isRetry)
+            triesAtTheBottom++
+            return Outcome.Unknown(ErrorKind.SERVER_CRASHED) to false
+        }
+    }
+}
