--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/command/CheckCommand.kt
@@ -0,0 +1,54 @@
+package org.celeryusher.node.command
+
+import org.celeryusher.kernel.configuration.ConfigurationParser
+import org.celeryusher.kernel.configuration.ConfigurationSnapshot
+import org.kohsuke.args4j.Argument
+
+/** Checks a configuration document as a whole, and prints every fault on a line of its own. */
+public class CheckCommand : Command {
+    override val name: String get() = "check"
+    override val summary: String get() = "Checks a configuration document and prints every fault."
+
+    /** The options of `celeryusher check`. */
+    public class Options : CommonOptions() {
+        /** The document's file. */
+        @field:Argument(metaVar = "FILE", required = true, usage = "the configuration document, a JSON file")
+        public var file: String = ""
+    }
+
+    override fun run(
+        arguments: List<String>,
+        output: CommandOutput,
+    ): ExitStatus =
+        withOptions(this, Options(), arguments, output) { options ->
+            DocumentFile.read(options.file).fold(
+                { fault ->
+                    output.error.println("celeryusher check: $fault")
+                    ExitStatus.USAGE
+                },
+                { bytes -> check(options.file, bytes, output) },
+            )
+        }
+
+    private fun check(
+        file: String,
+        bytes: ByteArray,
+        output: CommandOutput,
+    ): ExitStatus =
+        ConfigurationParser.parse(bytes).fold(
+            { faults ->
+                faults.forEach { output.standard.println(printableLine("$file: $it")) }
+                ExitStatus.WRONG
+            },
+            { snapshot ->
+                output.standard.println("$file: ${describe(snapshot)}")
+                ExitStatus.OK
+            },
+        )
+
+    private fun describe(snapshot: ConfigurationSnapshot): String {
+        val document = snapshot.document
+        return "version ${document.version} is valid: ${document.services.size} services, ${document.routes.size} routes, " +
+            "${document.ranks.size} ranks, ${document.exceptions.size} exceptions"
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/command/DocumentFile.kt
@@ -0,0 +1,34 @@
+package org.celeryusher.node.command
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.celeryusher.kernel.configuration.ConfigurationParser
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.InvalidPathException
+import java.nio.file.NoSuchFileException
+import java.nio.file.Path
+
+/** Reads the files that a command line names. */
+internal object DocumentFile {
+    /**
+     * Returns the bytes of the file [name], or a sentence that says why it cannot be read.
+     *
+     * Of a file that is larger than any accepted document, one byte more than the limit is read, which the parser refuses.
+     */
+    fun read(name: String): Either<String, ByteArray> =
+        try {
+            val path = Path.of(name)
+            when {
+                Files.isDirectory(path) -> "\"$name\" is a directory".left()
+                else -> Files.newInputStream(path).use { it.readNBytes(ConfigurationParser.MAXIMUM_DOCUMENT_BYTES + 1) }.right()
+            }
+        } catch (_: NoSuchFileException) {
+            "there is no file \"$name\"".left()
+        } catch (error: InvalidPathException) {
+            "\"${printableLine(name)}\" is not a file name: ${error.reason}".left()
+        } catch (error: IOException) {
+            "the file \"$name\" cannot be read: ${error.javaClass.simpleName}".left()
+        }
+}
