--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EntryThrottle.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EntryThrottle.kt
@@ -27,6 +27,7 @@
  * Adaptive throttling as in "Handling Overload" (Site Reliability Engineering, chapter 21): per service and rank, a call is refused
  * with probability `max(0, (requests - K * accepts) / (requests + 1))` over a sliding window. A rank always keeps sending at
  * least its guaranteed share of what the service accepts from this node, and at least one call in each part of the window.
+ * A call that was sent counts as a request once it is answered, so that slow calls in flight are not taken for refused ones.
  * Not safe for use by several threads.
  */
 public class EntryThrottle(
@@ -57,7 +58,7 @@
                 isBelowGuarantee(own, service, guaranteedShare, now) -> EntryDecision.Probe
                 else -> EntryDecision.Refuse(probability)
             }
-        own.request(isSent = decision !is EntryDecision.Refuse)
+        if (decision is EntryDecision.Refuse) own.request() else own.sent()
         return decision
     }
 
@@ -69,6 +70,7 @@
         now: Moment,
     ) {
         val own = countsOf(Key(service, rank)).also { it.advance(now) }
+        own.request()
         if (accepted) own.accept()
     }
 
@@ -80,7 +82,7 @@
     ): Boolean {
         if (own.sentInThisPart == 0) return true
         val acceptedByService = counts.filterKeys { it.service == service }.values.sumOf { it.also { other -> other.advance(now) }.accepts }
-        return own.sent < guaranteedShare * acceptedByService
+        return own.sentCalls < guaranteedShare * acceptedByService
     }
 
     private fun countsOf(key: Key): SlidingCounts = counts.getOrPut(key) { SlidingCounts(window / PARTS, PARTS) }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/SlidingCounts.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/SlidingCounts.kt
@@ -18,7 +18,7 @@
     private var partEndsAt: Moment? = null
 
     val requests: Int get() = ring.sumOf { it.requests }
-    val sent: Int get() = ring.sumOf { it.sent }
+    val sentCalls: Int get() = ring.sumOf { it.sent }
     val accepts: Int get() = ring.sumOf { it.accepts }
     val sentInThisPart: Int get() = ring.last().sent
 
@@ -35,9 +35,12 @@
         partEndsAt = end + partLength * (passed.toInt() + 1)
     }
 
-    fun request(isSent: Boolean) {
+    fun request() {
         ring.last().requests++
-        if (isSent) ring.last().sent++
+    }
+
+    fun sent() {
+        ring.last().sent++
     }
 
     fun accept() {
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
@@ -39,6 +39,12 @@
         return news
     }
 
+    /** Records that a proxy saw one crash while a request with [fingerprint] ran elsewhere. */
+    public fun suspect(
+        fingerprint: RequestFingerprint,
+        now: Moment,
+    ): Unit = merge(QuarantineNews(fingerprint, SUSPICION_MILLISECONDS, crashes = 1), now)
+
     /** Records that a request with [fingerprint] completed. */
     @Synchronized
     public fun completed(
@@ -77,5 +83,6 @@
 
     private companion object {
         const val MAXIMUM_NEWS = 32
+        const val SUSPICION_MILLISECONDS = 600_000L
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -132,6 +132,7 @@
     ): Admitted {
         val now = clock.now()
         val controller = admission ?: return Admitted.Ended(CallResult.Failed(ErrorKind.NO_CONFIGURATION))
+        if (call.suspected) crashes.suspect(fingerprint, now)
         val verdict = crashes.verdict(fingerprint, now)
         if (verdict is CrashVerdict.Quarantined) {
             return Admitted.Ended(
@@ -171,7 +172,7 @@
         val task = GuardTask(call, fingerprint, now + (call.reference.expiresAt - uptime(now)), ticket)
         tasks[call.reference.id] = task
         tickets.began(task)
-        val alone = call.suspected || verdict is CrashVerdict.RunAlone
+        val alone = verdict is CrashVerdict.RunAlone
         carryOut(controller.arrive(AdmissionRequest(call.reference.id, call.rankPosition, task.deadline, alone), now), now)
         return task
     }
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -146,7 +146,11 @@
                 GuardReply(CallResult.Failed(frame.kind, detail, frame.retryAfterMilliseconds?.milliseconds), frame.load, frame.crashes)
             }
 
-            is Frame.Hello, is Frame.Call, is Frame.TicketRequest, is Frame.TicketIssued, is Frame.Resolve, is Frame.Resolution, is Frame.Cancel -> {
+            is Frame.Hello, is Frame.Call, is Frame.Cancel, is Frame.TicketRequest, is Frame.TicketIssued -> {
+                failure(ErrorKind.CONNECTION_LOST)
+            }
+
+            is Frame.Resolve, is Frame.Resolution -> {
                 failure(ErrorKind.CONNECTION_LOST)
             }
         }
