--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
@@ -71,7 +71,7 @@
             if (call?.startedAt != null) {
                 calls.remove(key)
                 running -= 1
-                call.rank.finish(call, serviceTime, capacity)
+                call.rank.finish(call, serviceTime, capacity, moment)
                 if (call.request.runAlone) exclusiveTurn.finish(moment)
                 measure(call, serviceTime, outcome, moment)
             }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankState.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankState.kt
@@ -9,7 +9,8 @@
  *
  * The balance is a token bucket in slot-nanoseconds: it fills at the rank's share of the concurrency limit and pays for the service time
  * of the rank's calls. A rank with a positive balance is owed service. Savings are bounded by [savingsTime], and service on borrowed slots
- * makes no more debt than the share earns in [debtTime], so that a rank which lived on borrowed slots regains its share within that time.
+ * makes no more debt than the share earns in [debtTime] plus the calls that are paid in advance, so that a rank which lived on borrowed
+ * slots regains its share soon.
  */
 internal class RankState<Key : Any>(
     var policy: RankPolicy,
@@ -41,7 +42,7 @@
         now: Moment,
     ) {
         val nanoseconds = elapsed.inWholeNanoseconds.toDouble()
-        val savings = maxOf(guaranteedSlots(capacity) * savingsTime.inWholeNanoseconds, serviceTime.expected(now))
+        val savings = guaranteedSlots(capacity) * savingsTime.inWholeNanoseconds + serviceTime.expected(now)
         val earned = balance + guaranteedSlots(capacity) * nanoseconds
         balance = if (policy.guaranteedShare > 0.0) minOf(earned, maxOf(savings, balance)) else minOf(balance, 0.0)
         occupancy += (running - occupancy) * (nanoseconds / (nanoseconds + occupancyMemory.inWholeNanoseconds))
@@ -57,7 +58,7 @@
         running += 1
         call.startedAt = now
         call.borrowed = borrowed
-        pay(call, serviceTime.expected(now), capacity)
+        pay(call, serviceTime.expected(now), lowestBalance(capacity, now))
     }
 
     /** Replaces the expected service time of [call] by the real one. */
@@ -65,23 +66,31 @@
         call: AdmissionCall<Key>,
         duration: Duration,
         capacity: Int,
+        now: Moment,
     ) {
         running -= 1
         balance += call.charge
-        pay(call, duration.inWholeNanoseconds.toDouble(), capacity)
+        pay(call, duration.inWholeNanoseconds.toDouble(), lowestBalance(capacity, now))
     }
 
     private fun pay(
         call: AdmissionCall<Key>,
         cost: Double,
-        capacity: Int,
+        lowest: Double,
     ) {
         val before = balance
-        val lowest = -guaranteedSlots(capacity) * debtTime.inWholeNanoseconds
         balance = if (call.borrowed) maxOf(before - cost, minOf(before, lowest)) else before - cost
         call.charge = before - balance
     }
 
+    private fun lowestBalance(
+        capacity: Int,
+        now: Moment,
+    ): Double {
+        val callsPaidInAdvance = guaranteedSlots(capacity) + 1
+        return -guaranteedSlots(capacity) * debtTime.inWholeNanoseconds - callsPaidInAdvance * serviceTime.expected(now)
+    }
+
     private companion object {
         val savingsTime = 500.milliseconds
         val debtTime = 500.milliseconds
