--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/SpreadReplayTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/SpreadReplayTest.kt
@@ -107,8 +107,8 @@
 
     private fun summary(outcome: Outcome): String {
         val sorted = outcome.reachedAfter.sorted()
-        val perNode = outcome.pushes.toDouble() / sorted.size
-        return "p50 ${sorted[sorted.size / 2]} p99 ${sorted[sorted.size * 99 / 100]} last ${sorted.last()}, $perNode pushes a node, ${outcome.crossings} crossings"
+        val times = "p50 ${sorted[sorted.size / 2]} p99 ${sorted[sorted.size * 99 / 100]} last ${sorted.last()}"
+        return "$times, ${outcome.pushes.toDouble() / sorted.size} pushes a node, ${outcome.crossings} crossings"
     }
 
     private companion object {
