Add the demo, and stand-ins as commands

Change: 'celeryusher standin platform|server' with operators' ports; LocalFleet (real nodes, stand-in servers, platform, on loopback), a load generator that checks every answer and keeps what callers were told, and 'celeryusher demo', which publishes a change and a bad change, kills an instance, has another leave, sends work twice with one ticket, and prints a table or JSON. Node.halt() ends a node as a killed process would.

--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -69,6 +69,14 @@
         job.cancelAndJoin()
     }
 
+    /** Ends at once as a killed process would: tells nobody, waits for nothing. */
+    public suspend fun halt() {
+        frameServer.stop()
+        frameClient.stop()
+        http.stop()
+        job.cancelAndJoin()
+    }
+
     private companion object {
         const val RANDOM_BITS = 20
         val logger = KotlinLogging.logger {}
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/platform/PlatformOperatorEndpoint.kt
@@ -0,0 +1,77 @@
+package org.celeryusher.standin.platform
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.standin.http.ConnectionLimits
+import org.celeryusher.standin.http.HttpCall
+import org.celeryusher.standin.http.HttpListener
+import org.celeryusher.standin.http.HttpReply
+
+/**
+ * The operators' side of a platform's stand-in over HTTP, on a port of its own, for tests in other processes.
+ *
+ * `POST /operator/publish` (a document), `/operator/instances` (a list), `/operator/leaving?instance=NAME`, `/operator/faults` (a list);
+ * `GET /operator/counts`.
+ */
+public class PlatformOperatorEndpoint(
+    private val platform: PlatformStandIn,
+    host: String = "127.0.0.1",
+) {
+    private val listener = HttpListener(host, ConnectionLimits(), ::answer)
+
+    /** Binds [port], or a free one for 0, and returns the address. */
+    public fun start(port: Int = 0): Address = listener.open(port)
+
+    /** Closes the port. */
+    public fun stop(): Unit = listener.close()
+
+    private fun answer(call: HttpCall): HttpReply =
+        try {
+            when ("${call.method} ${call.path}") {
+                "POST /operator/publish" -> HttpReply.json(OK, """{"version":${platform.publish(call.body)}}""")
+                "POST /operator/instances" -> setInstances(call)
+                "POST /operator/leaving" -> markLeaving(call)
+                "POST /operator/faults" -> setFaults(call)
+                "GET /operator/counts" -> HttpReply.json(OK, format.encodeToString(platform.counts))
+                else -> HttpReply.json(NOT_FOUND, """{"error":"no such operation"}""")
+            }
+        } catch (error: SerializationException) {
+            HttpReply.json(
+                BAD_REQUEST,
+                format.encodeToString(
+                    mapOf(
+                        "error" to
+                            error.message
+                                .orEmpty()
+                                .lineSequence()
+                                .first(),
+                    ),
+                ),
+            )
+        }
+
+    private fun setInstances(call: HttpCall): HttpReply {
+        platform.setInstances(format.decodeFromString<List<PlatformInstance>>(call.body.decodeToString()))
+        return HttpReply.json(OK, """{"revision":${platform.instanceList.revision}}""")
+    }
+
+    private fun markLeaving(call: HttpCall): HttpReply {
+        val instance = call.parameter("instance") ?: return HttpReply.json(BAD_REQUEST, """{"error":"instance is missing"}""")
+        platform.markLeaving(InstanceName(instance))
+        return HttpReply.json(OK, """{"revision":${platform.instanceList.revision}}""")
+    }
+
+    private fun setFaults(call: HttpCall): HttpReply {
+        platform.faults = format.decodeFromString<List<PlatformFault>>(call.body.decodeToString())
+        return HttpReply.json(OK, format.encodeToString(platform.faults))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+        val format = Json { encodeDefaults = true }
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/server/BackendServerOperatorEndpoint.kt
@@ -0,0 +1,39 @@
+package org.celeryusher.standin.server
+
+import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.standin.http.ConnectionLimits
+import org.celeryusher.standin.http.HttpCall
+import org.celeryusher.standin.http.HttpListener
+import org.celeryusher.standin.http.HttpReply
+
+/** Drives one backend server's stand-in from another process: `POST /operator/drain|pause|resume|crash`, `GET /operator/counts`. */
+public class BackendServerOperatorEndpoint(
+    private val server: BackendServerStandIn,
+    host: String = "127.0.0.1",
+) {
+    private val listener = HttpListener(host, ConnectionLimits(), ::answer)
+
+    /** Binds [port], or a free one for 0, and returns the address. */
+    public fun start(port: Int = 0): Address = listener.open(port)
+
+    /** Closes the port. */
+    public fun stop(): Unit = listener.close()
+
+    private fun answer(call: HttpCall): HttpReply {
+        when ("${call.method} ${call.path}") {
+            "POST /operator/drain" -> server.drain()
+            "POST /operator/pause" -> server.pause()
+            "POST /operator/resume" -> server.resume()
+            "POST /operator/crash" -> server.crash()
+            "GET /operator/counts" -> Unit
+            else -> return HttpReply.json(NOT_FOUND, """{"error":"no such operation"}""")
+        }
+        return HttpReply.json(OK, Json.encodeToString(server.counts))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+    }
+}
--- /dev/null
+++ b/standin/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
@@ -0,0 +1,2 @@
+org.celeryusher.standin.command.StandInCommand
+org.celeryusher.standin.demo.DemoCommand
