--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -65,11 +65,11 @@
         calls.drain()
         delay(settings.control.leaveNoticeMilliseconds.milliseconds)
         calls.finish()
-        close()
+        halt()
     }
 
-    /** Closes everything at once, as a process that is killed would. */
-    public suspend fun close() {
+    /** Ends at once as a killed process would: tells nobody, waits for nothing. */
+    public suspend fun halt() {
         http.stop()
         calls.close()
         job.cancelAndJoin()
--- a/node/src/test/kotlin/org/celeryusher/node/call/CallPathTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/call/CallPathTest.kt
@@ -81,7 +81,7 @@
     fun aTicketWhoseOwnerWasKilledIsNeverRunElsewhere() {
         TestFleet(2, document) { _, exchange -> exchange.reply(200, "collected ${count(exchange)}") }.start().use { fleet ->
             val tickets = List(8) { fleet.ticket(0) }
-            runBlocking { fleet.nodes[1].close() }
+            runBlocking { fleet.nodes[1].halt() }
             val answers = tickets.map { fleet.send(0, "POST", "/collections", "council", mapOf("Celeryusher-Ticket" to it)) }
             val (ran, failed) = answers.partition { it.statusCode() == 200 }
             assertEquals(ran.size, runsOf("council"))
--- a/node/src/test/kotlin/org/celeryusher/node/runtime/TestFleet.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/TestFleet.kt
@@ -60,7 +60,7 @@
     fun killServer(index: Int): Unit = servers[index].close()
 
     override fun close() {
-        runBlocking { nodes.forEach { it.close() } }
+        runBlocking { nodes.forEach { it.halt() } }
         servers.forEach(HttpFake::close)
         platform.close()
     }
