Keep configuration and membership in step between nodes over HTTP

Cause: each node read the platform on its own and knew others only by the platform's lagging list. Change: ControlPlane drives the kernel's membership, reader schedule, version holder and spread planners with coroutines over HTTP and JSON. Chosen readers read the platform; versions and the instance list travel between nodes as differences; messages are signed when there is a fleet secret. GossipExtra carries the instance list's revision and age. The gossip interval defaults to 500 ms, as the membership's own probe interval.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/GossipMessage.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/GossipMessage.kt
@@ -35,6 +35,10 @@
     public val sourceAgeMilliseconds: Long? = null,
     /** Requests refused fleet-wide, in the form that their owner defines. */
     public val quarantined: List<JsonElement> = emptyList(),
+    /** The revision of the platform's instance list that the sender holds. */
+    public val instancesRevision: Long? = null,
+    /** How long ago the platform last gave its instance list to any node of which the sender has heard. */
+    public val instancesAgeMilliseconds: Long? = null,
 )
 
 /** Asks for a probe of [target], which the sender cannot reach itself. */
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlExchanges.kt
@@ -0,0 +1,155 @@
+package org.celeryusher.node.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.celeryusher.kernel.configuration.ConfigurationDelta
+import org.celeryusher.kernel.configuration.ConfigurationSnapshot
+import org.celeryusher.kernel.distribution.ConfigurationSource
+import org.celeryusher.kernel.distribution.OfferDecision
+import org.celeryusher.kernel.membership.GossipMessage
+import org.celeryusher.node.runtime.RoutingState
+import java.net.URLEncoder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Sends what [ControlState] wants sent, each in a coroutine of [scope], and reports the outcome, which may lead to more. */
+internal class ControlExchanges(
+    private val scope: CoroutineScope,
+    private val state: ControlState,
+    private val routing: RoutingState,
+    private val transport: ControlTransport,
+    private val extras: GossipExtras,
+    ownInstance: String,
+) {
+    private val ownInstance = URLEncoder.encode(ownInstance, Charsets.UTF_8)
+
+    /** Starts [actions] and returns at once. */
+    fun start(actions: List<ControlAction>): List<Job> = actions.map { action -> scope.launch { carryOutSafely(action) } }
+
+    /** Returns [message] with what other parts of the node send along. */
+    fun complete(message: GossipMessage): GossipMessage = message.copy(extra = state.extra().copy(quarantined = extras.outgoing()))
+
+    /** Takes in [news], with the delta that it may carry; returns what is in force here afterwards. */
+    fun take(news: ConfigurationNews): ConfigurationNews {
+        val snapshot = news.delta?.let(::snapshotAfter)
+        if (snapshot != null && snapshot.digest == news.inForce) {
+            start(state.offer(snapshot, ConfigurationSource.Peer(news.sender)).actions)
+        }
+        start(state.announced(news))
+        return state.news()
+    }
+
+    private suspend fun carryOutSafely(action: ControlAction) {
+        try {
+            carryOut(action)
+        } catch (error: CancellationException) {
+            throw error
+        } catch (error: RuntimeException) {
+            logger.error(error) { "a control message failed: ${action::class.simpleName}" }
+        }
+    }
+
+    private suspend fun carryOut(action: ControlAction) {
+        when (action) {
+            is ControlAction.Exchange -> exchange(action)
+            is ControlAction.Announce -> announce(action)
+            is ControlAction.Pull -> pull(action)
+            is ControlAction.AbandonPull -> start(state.pullEnded(action.peer, action.avoidFor))
+            is ControlAction.PullInstances -> pullInstances(action)
+        }
+    }
+
+    private suspend fun exchange(action: ControlAction.Exchange) {
+        val exchange = action.exchange
+        val body = ControlFormat.encode(GossipMessage.serializer(), complete(exchange.message))
+        val answer = transport.post(exchange.address, ControlPaths.GOSSIP, body, exchange.timeout)
+        val message = answer?.let { ControlFormat.decodeOrNull(GossipMessage.serializer(), it) }
+        if (message == null) {
+            start(state.failed(exchange.number))
+        } else {
+            if (message.extra.quarantined.isNotEmpty()) extras.incoming(message.extra.quarantined)
+            start(state.answered(exchange.number, message))
+        }
+    }
+
+    private suspend fun announce(action: ControlAction.Announce) {
+        val body = ControlFormat.encode(ConfigurationNews.serializer(), state.news(action.delta))
+        val answer = transport.post(action.address, ControlPaths.CONFIGURATION, body, ANNOUNCE_TIMEOUT) ?: return
+        val news = ControlFormat.decodeOrNull(ConfigurationNews.serializer(), answer) ?: return
+        start(state.announced(news))
+    }
+
+    private suspend fun pull(action: ControlAction.Pull) {
+        val held = action.held?.let { "&version=${it.version}&hash=${it.contentHash}" }.orEmpty()
+        val path = "${ControlPaths.CONFIGURATION}?instance=$ownInstance$held"
+        val answer = transport.get(action.address, path, PULL_TIMEOUT)
+        when (val transfer = answer?.let { ControlFormat.decodeOrNull(ConfigurationTransfer.serializer(), it) }) {
+            null, ConfigurationTransfer.Nothing -> pullEnded(action, FAILED_PEER_AVOIDANCE)
+            is ConfigurationTransfer.Busy -> pullEnded(action, transfer.retryAfterMilliseconds.milliseconds)
+            is ConfigurationTransfer.Delta -> takeDelta(action, transfer)
+            is ConfigurationTransfer.Whole -> {
+                val source = ConfigurationSource.Peer(action.peer)
+                conclude(action, state.offer(transfer.text.encodeToByteArray(), source, transfer.target))
+            }
+        }
+    }
+
+    private suspend fun takeDelta(
+        action: ControlAction.Pull,
+        transfer: ConfigurationTransfer.Delta,
+    ) {
+        val snapshot = snapshotAfter(transfer.text)
+        when {
+            snapshot != null -> conclude(action, state.offer(snapshot, ConfigurationSource.Peer(action.peer)))
+            action.held != null -> pull(action.copy(held = null))
+            else -> pullEnded(action, FAILED_PEER_AVOIDANCE)
+        }
+    }
+
+    /** Applies a delta outside the lock, to what is in force at that moment; null when it does not fit. */
+    private fun snapshotAfter(delta: String): ConfigurationSnapshot? {
+        val held = routing.current.snapshot ?: return null
+        return ConfigurationDelta
+            .parse(delta)
+            .getOrNull()
+            ?.applyTo(held)
+            ?.getOrNull()
+    }
+
+    private fun conclude(
+        action: ControlAction.Pull,
+        offered: Offered,
+    ) {
+        start(offered.actions)
+        pullEnded(action, if (offered.decision is OfferDecision.Refused) FAILED_PEER_AVOIDANCE else Duration.ZERO)
+    }
+
+    private fun pullEnded(
+        action: ControlAction.Pull,
+        avoidFor: Duration,
+    ) {
+        start(state.pullEnded(action.peer, avoidFor))
+    }
+
+    private suspend fun pullInstances(action: ControlAction.PullInstances) {
+        val held = action.heldRevision?.let { "?revision=$it" }.orEmpty()
+        val answer = transport.get(action.address, ControlPaths.INSTANCES + held, PULL_TIMEOUT) ?: return
+        val transfer = ControlFormat.decodeOrNull(InstanceListTransfer.serializer(), answer) ?: return
+        val actions = state.takeInstances(transfer)
+        when {
+            actions != null -> start(actions)
+            action.heldRevision != null -> pullInstances(action.copy(heldRevision = null))
+        }
+    }
+
+    private companion object {
+        val ANNOUNCE_TIMEOUT = 1.seconds
+        val PULL_TIMEOUT = 5.seconds
+        val FAILED_PEER_AVOIDANCE = 1.seconds
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/control/LonePlatformReader.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/LonePlatformReader.kt
@@ -8,6 +8,8 @@
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.membership.MembershipView
+import org.celeryusher.kernel.membership.PlatformInstanceList
+import org.celeryusher.kernel.membership.PlatformInstanceState
 import org.celeryusher.node.runtime.RoutingState
 import org.celeryusher.node.settings.ControlSettings
 import kotlin.time.Duration.Companion.milliseconds
@@ -65,7 +67,7 @@
         }
     }
 
-    private fun viewOf(list: InstanceList): MembershipView =
+    private fun viewOf(list: PlatformInstanceList): MembershipView =
         MembershipView(
             list.instances.map {
                 Member(
@@ -75,7 +77,7 @@
                     controlAddress = it.controlAddress,
                     frameAddress = it.frameAddress,
                     serverAddress = it.serverAddress,
-                    state = if (it.state == ListedState.live) MemberState.LIVE else MemberState.LEAVING,
+                    state = if (it.state == PlatformInstanceState.LIVE) MemberState.LIVE else MemberState.LEAVING,
                 )
             },
         )
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/control/MessageCompression.kt
@@ -0,0 +1,33 @@
+package org.celeryusher.node.control
+
+import java.io.ByteArrayInputStream
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.util.zip.GZIPInputStream
+import java.util.zip.GZIPOutputStream
+
+/** Compresses the larger messages between nodes by gzip. */
+internal object MessageCompression {
+    /** The size from which on a message is compressed. */
+    const val MINIMUM_BYTES = 2_048
+
+    fun compress(bytes: ByteArray): ByteArray {
+        val out = ByteArrayOutputStream(bytes.size / EXPECTED_RATIO)
+        GZIPOutputStream(out).use { it.write(bytes) }
+        return out.toByteArray()
+    }
+
+    /** Returns what [bytes] hold, or null when they are not gzip or hold more than [maximumBytes]. */
+    fun expandOrNull(
+        bytes: ByteArray,
+        maximumBytes: Int,
+    ): ByteArray? =
+        try {
+            val expanded = GZIPInputStream(ByteArrayInputStream(bytes)).use { it.readNBytes(maximumBytes + 1) }
+            expanded.takeIf { it.size <= maximumBytes }
+        } catch (_: IOException) {
+            null
+        }
+
+    private const val EXPECTED_RATIO = 4
+}
--- a/node/src/main/kotlin/org/celeryusher/node/control/PlatformClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/PlatformClient.kt
@@ -5,47 +5,21 @@
 import io.ktor.client.request.parameter
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.utils.io.readRemaining
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.readByteArray
-import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.celeryusher.kernel.identity.Address
-import org.celeryusher.kernel.identity.DataCentreName
-import org.celeryusher.kernel.identity.InstanceName
-import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.kernel.membership.PlatformInstanceList
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** One entry of the platform's instance list. */
-@Serializable
-public data class ListedInstance(
-    public val instance: InstanceName,
-    public val service: ServiceName,
-    public val dataCentre: DataCentreName,
-    public val controlAddress: Address,
-    public val frameAddress: Address,
-    public val serverAddress: Address,
-    public val state: ListedState = ListedState.live,
-)
-
-/** What the platform says of an instance. */
-@Serializable
-@Suppress("ktlint:standard:enum-entry-name-case")
-public enum class ListedState { live, leaving }
-
-/** The platform's instance list at one time; it may lag behind the fleet. */
-@Serializable
-public data class InstanceList(
-    public val revision: Long,
-    public val instances: List<ListedInstance>,
-)
-
 /** What came of one read of the platform. */
 public sealed interface PlatformAnswer<out T> {
     /** The platform gave [value]. */
@@ -56,9 +30,10 @@
     /** Nothing newer than what the node named. */
     public data object Unchanged : PlatformAnswer<Nothing>
 
-    /** No usable answer; [reason] tells why. */
+    /** No usable answer; [reason] tells why, and [retryAfter] is the time that the platform asked to be left alone. */
     public data class Unavailable(
         public val reason: String,
+        public val retryAfter: Duration = Duration.ZERO,
     ) : PlatformAnswer<Nothing>
 }
 
@@ -84,10 +59,10 @@
     }
 
     /** Returns the instance list. */
-    public suspend fun readInstances(): PlatformAnswer<InstanceList> =
+    public suspend fun readInstances(): PlatformAnswer<PlatformInstanceList> =
         read("instances", emptyMap(), READ_TIMEOUT) { bytes ->
             try {
-                PlatformAnswer.Value(format.decodeFromString<InstanceList>(bytes.decodeToString()))
+                PlatformAnswer.Value(format.decodeFromString<PlatformInstanceList>(bytes.decodeToString()))
             } catch (error: SerializationException) {
                 PlatformAnswer.Unavailable("malformed instance list: ${error.message.orEmpty().lineSequence().first()}")
             }
@@ -117,13 +92,19 @@
         decode: (ByteArray) -> PlatformAnswer<T>,
     ): PlatformAnswer<T> {
         if (response.status == HttpStatusCode.NoContent) return PlatformAnswer.Unchanged
-        if (response.status != HttpStatusCode.OK) return PlatformAnswer.Unavailable("status ${response.status.value}")
+        if (response.status != HttpStatusCode.OK) return PlatformAnswer.Unavailable("status ${response.status.value}", retryAfter(response))
         val bytes = response.bodyAsChannel().readRemaining(maximumBytes + 1L).readByteArray()
         if (bytes.size > maximumBytes) return PlatformAnswer.Unavailable("more than $maximumBytes bytes")
         return decode(bytes)
     }
 
+    private fun retryAfter(response: HttpResponse): Duration {
+        val asked = response.headers[HttpHeaders.RetryAfter]?.toLongOrNull() ?: 0
+        return asked.seconds.coerceIn(Duration.ZERO, LONGEST_RETRY_AFTER)
+    }
+
     private companion object {
+        val LONGEST_RETRY_AFTER = 30.seconds
         val READ_TIMEOUT = 2.seconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.launch
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.node.call.BackendServerClient
@@ -16,8 +15,7 @@
 import org.celeryusher.node.call.FrameClient
 import org.celeryusher.node.call.FrameServer
 import org.celeryusher.node.call.Guard
-import org.celeryusher.node.control.LonePlatformReader
-import org.celeryusher.node.control.PlatformClient
+import org.celeryusher.node.control.ControlPlane
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 
@@ -44,11 +42,14 @@
     private val frameClient = FrameClient(resources.selector, scope, clock, maximumFrameBytes)
     private val proxy = CallProxy(settings.instance, routing, guard, frameClient, random)
     private val callers = CallerEndpoint(proxy, clock, limits)
-    private val platform = PlatformClient(resources.httpClient, settings.platform, limits.maximumMessageBytes)
+
+    /** Keeps configuration and membership up to date. */
+    public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random)
     private val http =
         NodeHttpServer(
             listOf(
                 HttpAddress(settings.addresses.callers, callers::answer),
+                HttpAddress(settings.addresses.control, control::answer),
                 HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
             ),
         )
@@ -57,15 +58,17 @@
     public suspend fun start() {
         frameServer.start(scope)
         http.start()
-        scope.launch { LonePlatformReader(platform, routing, settings.control).run() }
+        control.start(scope)
         if (settings.fleetSecret == null) logger.warn { "no fleet secret is set: control messages between nodes are not signed" }
     }
 
     /** Stops gracefully: takes no new calls, lets those in flight end, then closes everything. */
     public suspend fun stop() {
+        control.leave()
         http.stop()
         frameServer.stop()
         frameClient.stop()
+        control.stop()
         job.cancelAndJoin()
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
@@ -69,7 +69,7 @@
 @Serializable
 public data class ControlSettings(
     /** How often a node exchanges news with one other node. */
-    public val gossipIntervalMilliseconds: Long = 1_000,
+    public val gossipIntervalMilliseconds: Long = 500,
     /** How long a node that has just started asks others for the version that they hold before it serves. */
     public val floorWaitMilliseconds: Long = 3_000,
     /** How often the backend server's health is read. */
