--- a/node/src/main/kotlin/org/celeryusher/node/call/BackendServerHealth.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/BackendServerHealth.kt
@@ -11,40 +11,23 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.node.control.BackendServerState
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** What a backend server says of itself, or that it says nothing. */
-public enum class BackendServerState {
-    /** Not asked yet. */
-    UNKNOWN,
-
-    /** Listens, and is not ready for calls. */
-    STARTING,
-
-    /** Takes calls. */
-    READY,
-
-    /** Is leaving and takes no new calls. */
-    DRAINING,
-
-    /** Does not answer. */
-    DOWN,
-}
-
 /** Reads the health of the backend server beside this node and tells about changes. */
 internal class BackendServerHealth(
     private val client: HttpClient,
     private val server: Address,
     private val interval: Duration,
-    private val onChange: suspend (before: BackendServerState, after: BackendServerState) -> Unit,
+    private val onChange: suspend (before: BackendServerState?, after: BackendServerState) -> Unit,
 ) {
     private val format = Json { ignoreUnknownKeys = true }
 
-    /** What the server last said. */
+    /** What the server last said; null before it was asked. */
     @Volatile
-    var state: BackendServerState = BackendServerState.UNKNOWN
+    var state: BackendServerState? = null
         private set
 
     /** Reads until cancelled. */
@@ -62,11 +45,11 @@
         try {
             withTimeout(READ_TIMEOUT) { stateOf(client.get("http://$server/health").bodyAsText()) }
         } catch (_: TimeoutCancellationException) {
-            BackendServerState.DOWN
+            BackendServerState.DEAD
         } catch (error: CancellationException) {
             throw error
         } catch (_: IOException) {
-            BackendServerState.DOWN
+            BackendServerState.DEAD
         }
 
     // A server without a health endpoint that answers anything at all is taken to be ready.
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
@@ -10,6 +10,7 @@
 import org.celeryusher.kernel.execution.QuarantineNews
 import org.celeryusher.kernel.execution.RequestFingerprint
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.control.GossipExtras
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import kotlin.time.Duration
@@ -17,7 +18,7 @@
 /** What this node knows of requests that stop backend servers; shared by its proxy, its guard and the gossip between nodes. */
 public class CrashRegister(
     private val clock: ProcessClock,
-) {
+) : GossipExtras {
     private val suspects = CrashSuspects()
 
     /** Returns how a request with [fingerprint] may run. */
@@ -66,11 +67,11 @@
     public fun news(now: Moment): List<QuarantineNews> = suspects.news(now)
 
     /** Returns what is worth telling another node, as gossip carries it. */
-    public fun outgoing(): List<JsonElement> = news(clock.now()).take(MAXIMUM_NEWS).map { Json.encodeToJsonElement(it) }
+    override fun outgoing(): List<JsonElement> = news(clock.now()).take(MAXIMUM_NEWS).map { Json.encodeToJsonElement(it) }
 
     /** Takes over what gossip brought; malformed entries are ignored. */
-    public fun incoming(elements: List<JsonElement>) {
-        for (element in elements.take(MAXIMUM_NEWS)) {
+    override fun incoming(news: List<JsonElement>) {
+        for (element in news.take(MAXIMUM_NEWS)) {
             try {
                 merge(Json.decodeFromJsonElement<QuarantineNews>(element), clock.now())
             } catch (_: SerializationException) {
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -12,11 +12,10 @@
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.node.call.BackendServerHealth
-import org.celeryusher.node.call.BackendServerState
 import org.celeryusher.node.call.CallObserver
 import org.celeryusher.node.call.CallSide
-import org.celeryusher.node.control.LonePlatformReader
-import org.celeryusher.node.control.PlatformClient
+import org.celeryusher.node.control.BackendServerState
+import org.celeryusher.node.control.ControlPlane
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -37,13 +36,16 @@
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, CallObserver.NONE)
-    private val platform = PlatformClient(resources.httpClient, settings.platform, settings.limits.maximumMessageBytes)
     private val healthInterval = settings.control.healthIntervalMilliseconds.milliseconds
     private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
+
+    /** Keeps configuration and membership up to date. */
+    public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes)
     private val http =
         NodeHttpServer(
             listOf(
                 HttpAddress(settings.addresses.callers, calls::answer),
+                HttpAddress(settings.addresses.control, control::answer),
                 HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
             ),
         )
@@ -53,7 +55,7 @@
         calls.start()
         http.start()
         scope.launch { health.run() }
-        scope.launch { LonePlatformReader(platform, routing, settings.control).run() }
+        control.start(scope)
         if (settings.fleetSecret == null) logger.warn { "no fleet secret is set: control messages between nodes are not signed" }
     }
 
@@ -62,9 +64,11 @@
      * limit, and closes everything.
      */
     public suspend fun stop() {
+        control.leave()
         calls.drain()
         delay(settings.control.leaveNoticeMilliseconds.milliseconds)
         calls.finish()
+        control.stop()
         halt()
     }
 
@@ -76,13 +80,14 @@
     }
 
     private fun serverChanged(
-        before: BackendServerState,
+        before: BackendServerState?,
         after: BackendServerState,
     ) {
+        control.backendServerState(after)
         when (after) {
-            BackendServerState.READY -> if (before != BackendServerState.UNKNOWN) calls.serverStarted()
+            BackendServerState.READY -> if (before != null) calls.serverStarted()
             BackendServerState.DRAINING -> calls.drain()
-            BackendServerState.STARTING, BackendServerState.DOWN, BackendServerState.UNKNOWN -> Unit
+            BackendServerState.STARTING, BackendServerState.DEAD -> Unit
         }
     }
 
--- a/node/src/test/kotlin/org/celeryusher/node/runtime/FreePorts.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/FreePorts.kt
@@ -1,11 +1,28 @@
 package org.celeryusher.node.runtime
 
 import org.celeryusher.kernel.identity.Address
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
 
-/** Returns [count] loopback addresses with different ports that were free a moment ago. */
-fun freeLoopbackAddresses(count: Int): List<Address> {
-    val sockets = List(count) { ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")) }
-    return sockets.map { Address("127.0.0.1", it.localPort) }.also { sockets.forEach(ServerSocket::close) }
-}
+private const val FIRST_PORT = 10_000
+private const val LAST_PORT = 30_000
+private val nextPort = AtomicInteger((ProcessHandle.current().pid() * 97 % (LAST_PORT - FIRST_PORT)).toInt())
+
+/** Returns [count] loopback addresses with different free ports, below the range that outgoing connections take theirs from. */
+fun freeLoopbackAddresses(count: Int): List<Address> =
+    generateSequence { FIRST_PORT + Math.floorMod(nextPort.getAndIncrement(), LAST_PORT - FIRST_PORT) }
+        .take(LAST_PORT - FIRST_PORT)
+        .filter(::isFree)
+        .take(count)
+        .map { Address("127.0.0.1", it) }
+        .toList()
+
+private fun isFree(port: Int): Boolean =
+    try {
+        ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")).close()
+        true
+    } catch (_: IOException) {
+        false
+    }
