--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
@@ -81,9 +81,13 @@
     ): ConfigurationSnapshot? {
         val serializer = ConfigurationDocument.serializer()
         val canonical = DocumentShape(faults).canonical(tree, serializer.descriptor, JsonPath.ROOT)
-        if (tree is JsonObject) DocumentRules(DocumentDraft.of(tree), faults).check()
-        if (canonical == null || faults.toFaultsOrNull() != null) return null
+        if (canonical == null) {
+            if (tree is JsonObject) DocumentRules(DocumentDraft.of(tree), faults).check()
+            return null
+        }
         val document = Json.decodeFromJsonElement(serializer, canonical)
+        DocumentRules(DocumentDraft.of(document), faults).check()
+        if (!faults.isEmpty()) return null
         val text = canonical.toString()
         return ConfigurationSnapshot(document, ConfigurationDigest(document.version, hashOf(text)), text)
     }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentDraft.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentDraft.kt
@@ -25,6 +25,17 @@
     val exceptions: List<DraftEntry<FleetException>>?,
 ) {
     companion object {
+        /** Returns the draft of a [document] whose shape is right throughout. */
+        fun of(document: ConfigurationDocument): DocumentDraft =
+            DocumentDraft(
+                version = document.version,
+                defaults = document.defaults,
+                ranks = entries("ranks", document.ranks) { it.name.value },
+                services = entries("services", document.services) { it.name.value },
+                routes = entries("routes", document.routes) { it.name.value },
+                exceptions = entries("exceptions", document.exceptions) { it.name },
+            )
+
         /** Returns the draft of the document in [tree]. The faults of its shape are not reported here; [DocumentShape] does that. */
         fun of(tree: JsonObject): DocumentDraft =
             DocumentDraft(
@@ -36,6 +47,15 @@
                 exceptions = if ("exceptions" in tree) entries(tree, "exceptions", FleetException.serializer()) else emptyList(),
             )
 
+        private fun <T : Any> entries(
+            list: String,
+            values: List<T>,
+            nameOf: (T) -> String,
+        ): List<DraftEntry<T>> {
+            val path = JsonPath.ROOT.member(list)
+            return values.mapIndexed { index, value -> DraftEntry(path.element(index), nameOf(value), value) }
+        }
+
         private fun <T : Any> entries(
             tree: JsonObject,
             list: String,
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentShape.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentShape.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.descriptors.PrimitiveKind
 import kotlinx.serialization.descriptors.SerialDescriptor
 import kotlinx.serialization.descriptors.StructureKind
+import kotlinx.serialization.encoding.CompositeDecoder
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
@@ -62,12 +63,13 @@
         descriptor: SerialDescriptor,
         path: JsonPath,
     ): Boolean {
-        val known = (0 until descriptor.elementsCount).mapTo(mutableSetOf(), descriptor::getElementName)
-        val unknown = element.filterKeys { it !in known }
+        val unknown = element.filterKeys { descriptor.getElementIndex(it) == CompositeDecoder.UNKNOWN_NAME }
+        if (unknown.isEmpty()) return false
+        val known = (0 until descriptor.elementsCount).map(descriptor::getElementName)
         unknown.forEach { (name, value) ->
             faults.add(path.member(name), value, "is not a field here; the fields are ${known.joinToString()}")
         }
-        return unknown.isNotEmpty()
+        return true
     }
 
     private fun canonicalMember(
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/FaultCollector.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/FaultCollector.kt
@@ -32,6 +32,9 @@
         if (found.size < MAXIMUM_FAULTS) found += ConfigurationFault(path.text, shortened(offending), message)
     }
 
+    /** Returns whether no fault was found yet. */
+    fun isEmpty(): Boolean = found.isEmpty()
+
     /** Returns the faults without repetition, or null when there is none. */
     fun toFaultsOrNull(): NonEmptyList<ConfigurationFault>? = found.distinct().toNonEmptyListOrNull()
 
