Try again elsewhere when a guard has just started, and wait for a fresh view after a pause

Cause: the whole path test failed once: the proxy routed by its configuration to an instance whose node had not yet taken any, and the answer NO_CONFIGURATION was final. Ruled out: a lost configuration; the second node's floor wait was still running. Change: that refusal, which ran nothing, is tried on another endpoint at no cost of the retry budget; and a proxy that was paused waits for the control plane's refresh, which is bounded, before it places work.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/execution/RetryPolicy.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/RetryPolicy.kt
@@ -24,7 +24,8 @@
     /**
      * Returns what to do after the attempt of [call] that ended with [outcome], and takes a retry from [budget] when it is one.
      *
-     * Work handed back by a server or node that leaves costs no budget: nothing was spent on it, and a drain is not overload.
+     * Work handed back by a server or node that leaves, or that has just started and holds no configuration, costs no budget: nothing was
+     * spent on it, and neither is overload.
      */
     public fun decide(
         outcome: Outcome,
@@ -84,7 +85,7 @@
         return RetryDecision.Answer(outcome, reason, markRetried = retriesAreOver)
     }
 
-    private val handedBackKinds = setOf(ErrorKind.DRAINING, ErrorKind.NODE_STOPPING)
+    private val handedBackKinds = setOf(ErrorKind.DRAINING, ErrorKind.NODE_STOPPING, ErrorKind.NO_CONFIGURATION)
 
     /** The caller has gone, or only the caller or the ticket's owner can do something about it. */
     private val answeredToCaller =
@@ -95,6 +96,5 @@
             ErrorKind.TICKET_OWNER_GONE,
             ErrorKind.TICKET_OWNER_UNREACHABLE,
             ErrorKind.TICKET_EXPIRED,
-            ErrorKind.NO_CONFIGURATION,
         )
 }
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/execution/RetryPolicyTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/execution/RetryPolicyTest.kt
@@ -25,6 +25,7 @@
                 Triple(busy, first, null),
                 Triple(busy, first.copy(idempotent = false), null),
                 Triple(Outcome.NotRun(ErrorKind.CONNECTION_REFUSED), first.copy(idempotent = false), null),
+                Triple(Outcome.NotRun(ErrorKind.NO_CONFIGURATION), first.copy(idempotent = false), null),
                 Triple(Outcome.NotRun(ErrorKind.QUARANTINED), first, AnswerReason.NOT_RETRYABLE),
                 Triple(Outcome.NotRun(ErrorKind.CANCELLED_BEFORE_START), first, AnswerReason.NOT_RETRYABLE),
                 Triple(Outcome.Unknown(ErrorKind.TICKET_OWNER_GONE), first, AnswerReason.NOT_RETRYABLE),
@@ -56,6 +57,7 @@
             }
         assertTrue(retriesOf(ErrorKind.OVERLOADED) in 100..110)
         assertEquals(1_000, retriesOf(ErrorKind.DRAINING))
+        assertEquals(1_000, retriesOf(ErrorKind.NO_CONFIGURATION))
     }
 
     @Test
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -41,9 +41,11 @@
     private val clock: ProcessClock,
     private val random: Random,
     private val observer: CallObserver,
+    private val awaitFreshView: suspend () -> Unit,
 ) {
     /** Routes and runs [request]. */
     suspend fun run(request: CallRequest): ProxyAnswer {
+        awaitFreshView()
         val current = routing.current
         val table = current.table ?: return failed(ErrorKind.NO_CONFIGURATION)
         return when (val route = table.match(request.method, request.path)) {
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
@@ -29,6 +29,7 @@
     private val clock: ProcessClock,
     random: Random,
     observer: CallObserver,
+    awaitFreshView: suspend () -> Unit,
 ) {
     /** What is known of requests that stop backend servers, to be exchanged with other nodes. */
     val crashes: CrashRegister = CrashRegister(clock)
@@ -42,7 +43,8 @@
     private val frameClient = FrameClient(resources.selector, scope, clock, maximumFrameBytes)
     private val distances = DataCentreDistances(settings.dataCentre, settings.control.interDataCentreMicroseconds.microseconds)
     private val selection = EndpointSelection(distances, random)
-    private val proxy = CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, observer)
+    private val proxy =
+        CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, observer, awaitFreshView)
     private val callers = CallerEndpoint(proxy, clock, limits)
 
     /** The guard's load, or null before a configuration with this node's service is in force. */
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -35,7 +35,7 @@
 
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
-    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, CallObserver.NONE)
+    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, CallObserver.NONE, ::awaitFreshView)
     private val healthInterval = settings.control.healthIntervalMilliseconds.milliseconds
     private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
 
@@ -79,6 +79,11 @@
         job.cancelAndJoin()
     }
 
+    // A process that was paused must not place work by what it believed before; the control plane bounds the wait.
+    private suspend fun awaitFreshView() {
+        while (control.needsRefresh) delay(REFRESH_POLL)
+    }
+
     private fun serverChanged(
         before: BackendServerState?,
         after: BackendServerState,
@@ -93,6 +98,7 @@
 
     private companion object {
         const val RANDOM_BITS = 20
+        val REFRESH_POLL = 5.milliseconds
         val logger = KotlinLogging.logger {}
     }
 }
--- a/node/src/test/kotlin/org/celeryusher/node/runtime/WholePathTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/WholePathTest.kt
@@ -60,6 +60,15 @@
             }
         }
 
+    private suspend fun waitUntilRouting(node: Node) {
+        while (node.routing.current.table
+                ?.resolved
+                .isNullOrEmpty()
+        ) {
+            delay(10.milliseconds)
+        }
+    }
+
     private fun get(address: String): HttpResponse<String> =
         HttpClient.newHttpClient().send(
             HttpRequest.newBuilder(URI(address)).timeout(ofSeconds(10)).build(),
