--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
@@ -282,15 +282,6 @@
         now: Moment,
     ): Duration = ranks.expectedWait(rank, capacity, now).toDurationNanoseconds()
 
-    private fun latestStart(
-        call: AdmissionCall<Key>,
-        now: Moment,
-    ): Moment =
-        call.request.deadline -
-            call.rank.serviceTime
-                .optimistic(now)
-                .toDurationNanoseconds()
-
     private fun nextRampStep(): Moment? {
         val end = limit.rampEndsAt()
         if (lastEventAt >= end) return null
