Answer operators at the admin address, and count what a node does

Cause: the admin address answered every request with "ready", decisions were kept nowhere but in the log, and nothing was counted. A node that cannot listen says so in one line. Conclusion: alerts.md documents every metric, and a test compares it with a scrape.

--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/NodeStatus.kt
@@ -0,0 +1,151 @@
+package org.celeryusher.node.admin
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.configuration.ConfigurationSnapshot
+import org.celeryusher.kernel.configuration.FleetException
+import org.celeryusher.kernel.identity.DataCentreName
+import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.RankName
+import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.kernel.membership.MemberState
+import org.celeryusher.kernel.membership.MembershipView
+import org.celeryusher.kernel.routing.RoutingTable
+import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.Decision
+import org.celeryusher.node.metrics.CallCount
+
+/** What one node tells operators of itself. Times are ages in milliseconds, since the clocks of nodes differ. */
+@Serializable
+public data class NodeStatus(
+    public val instance: InstanceName,
+    public val service: ServiceName,
+    public val dataCentre: DataCentreName,
+    public val incarnation: Incarnation,
+    /** How long this life of the node has lasted; it knows nothing from before. */
+    public val upMilliseconds: Long,
+    /** Why the node is not ready for calls; null when it is. */
+    public val notReady: String? = null,
+    public val configuration: ConfigurationStatus,
+    public val routes: RouteStatus,
+    public val members: MemberStatus,
+    public val guard: GuardStatus? = null,
+    /** The exceptions in force at this node, with their reasons. */
+    public val exceptions: List<FleetException>,
+    /** How often calls ended in each way, here, since the start. */
+    public val calls: List<CallCount>,
+    public val decisions: List<DecisionStatus>,
+    /** How many decisions were made and are not kept any more. */
+    public val forgottenDecisions: Long,
+    public val sections: Map<String, JsonElement> = emptyMap(),
+)
+
+/** The routes that a node can serve, and those that it holds back because no backend server provides their service. */
+@Serializable
+public data class RouteStatus(
+    public val resolved: List<RouteName>,
+    public val held: List<RouteName>,
+) {
+    internal companion object {
+        fun of(table: RoutingTable?): RouteStatus =
+            RouteStatus(
+                resolved = table?.resolved.orEmpty().map { it.declaration.name },
+                held = table?.held.orEmpty().map { it.declaration.name },
+            )
+    }
+}
+
+/** How many members a node knows in each state. */
+@Serializable
+public data class MemberStatus(
+    public val live: Int,
+    public val suspected: Int,
+    public val leaving: Int,
+    public val dead: Int,
+    /** The members that are not live. */
+    public val notLive: List<NotLiveMember>,
+) {
+    internal companion object {
+        private const val MAXIMUM_LISTED = 100
+
+        fun of(view: MembershipView): MemberStatus {
+            val counts = view.members.groupingBy { it.state }.eachCount()
+            return MemberStatus(
+                live = counts[MemberState.LIVE] ?: 0,
+                suspected = counts[MemberState.SUSPECTED] ?: 0,
+                leaving = counts[MemberState.LEAVING] ?: 0,
+                dead = counts[MemberState.DEAD] ?: 0,
+                notLive =
+                    view.members
+                        .filter { it.state != MemberState.LIVE }
+                        .sortedBy { it.instance }
+                        .take(MAXIMUM_LISTED)
+                        .map { NotLiveMember(it.instance, it.state) },
+            )
+        }
+    }
+}
+
+/** A member that is suspected, leaving or dead. */
+@Serializable
+public data class NotLiveMember(
+    public val instance: InstanceName,
+    public val state: MemberState,
+)
+
+/** The load of the backend server beside a node, and what each rank may expect of it. */
+@Serializable
+public data class GuardStatus(
+    public val limit: Int,
+    public val running: Int,
+    public val queued: Int,
+    public val ranks: List<RankStatus>,
+) {
+    internal companion object {
+        fun of(
+            load: GuardLoad,
+            snapshot: ConfigurationSnapshot?,
+        ): GuardStatus {
+            val names =
+                snapshot
+                    ?.document
+                    ?.ranks
+                    .orEmpty()
+                    .map { it.name }
+            val ranks =
+                load.ranks.mapIndexed { position, rank ->
+                    RankStatus(names.getOrElse(position) { RankName("rank-$position") }, rank.estimatedWaitMilliseconds, rank.accepting)
+                }
+            return GuardStatus(load.limit, load.running, load.queued, ranks)
+        }
+    }
+}
+
+/** What a call of one rank that arrives now may expect. */
+@Serializable
+public data class RankStatus(
+    public val rank: RankName,
+    public val estimatedWaitMilliseconds: Long,
+    public val accepting: Boolean,
+)
+
+/** One of the latest decisions. */
+@Serializable
+public data class DecisionStatus(
+    public val agoMilliseconds: Long,
+    public val subject: String,
+    public val decided: String,
+    public val reason: String,
+    public val inputs: Map<String, String>,
+) {
+    internal companion object {
+        fun of(
+            decision: Decision,
+            now: Moment,
+        ): DecisionStatus =
+            DecisionStatus((now - decision.at).inWholeMilliseconds, decision.subject, decision.decided, decision.reason, decision.inputs)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/StatusReporter.kt
@@ -0,0 +1,62 @@
+package org.celeryusher.node.admin
+
+import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
+import org.celeryusher.node.runtime.RoutingState
+
+/** Gathers the status of one node, which began at [started], from its parts. */
+public class StatusReporter(
+    private val place: FleetPlace,
+    private val incarnation: () -> Incarnation,
+    private val started: Moment,
+    private val routing: RoutingState,
+    private val metrics: NodeMetrics,
+    private val decisions: DecisionLog,
+    private val providers: StatusProviders,
+) {
+    /** Returns why the node is not ready for calls, or null when it is. */
+    public fun notReady(): NotReady? =
+        when {
+            providers.stopping() -> NotReady.STOPPING
+            routing.current.snapshot == null -> NotReady.NO_CONFIGURATION
+            else -> null
+        }
+
+    /** Returns the settings in force here for [place], or null while no configuration is in force. */
+    internal fun explain(place: FleetPlace): Explanation? = routing.current.snapshot?.let { Explanation.of(it, place) }
+
+    /** Returns whether the configuration in force has [route]. */
+    internal fun hasRoute(route: RouteName): Boolean = routing.current.snapshot?.route(route) != null
+
+    /** Returns the status of the node at [now]. */
+    public fun status(now: Moment): NodeStatus {
+        val current = routing.current
+        val snapshot = current.snapshot
+        return NodeStatus(
+            instance = place.instance,
+            service = place.service,
+            dataCentre = place.dataCentre,
+            incarnation = incarnation(),
+            upMilliseconds = (now - started).inWholeMilliseconds,
+            notReady = notReady()?.kind?.meaning,
+            configuration = providers.configuration?.invoke(now) ?: ConfigurationStatus(version = snapshot?.digest?.version),
+            routes = RouteStatus.of(current.table),
+            members = MemberStatus.of(current.view),
+            guard = providers.guardLoad?.let { GuardStatus.of(it(now), snapshot) },
+            exceptions =
+                snapshot
+                    ?.document
+                    ?.exceptions
+                    .orEmpty()
+                    .filter { place.isWithin(it.scope.copy(route = null)) },
+            calls = metrics.callCounts(),
+            decisions = decisions.latest.map { DecisionStatus.of(it, now) },
+            forgottenDecisions = decisions.forgotten,
+            sections = providers.sections.mapValues { (_, section) -> section.describe(now) },
+        )
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
@@ -4,6 +4,7 @@
 import org.celeryusher.node.runtime.Node
 import org.celeryusher.node.settings.NodeSettingsReader
 import org.kohsuke.args4j.Option
+import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 
@@ -36,10 +37,10 @@
                 { settings ->
                     if (options.printSettings) {
                         output.standard.println(NodeSettingsReader.print(settings))
+                        ExitStatus.OK
                     } else {
                         runUntilStopped(Node(settings), output)
                     }
-                    ExitStatus.OK
                 },
             )
         }
@@ -47,7 +48,14 @@
     private fun runUntilStopped(
         node: Node,
         output: CommandOutput,
-    ) {
+    ): ExitStatus {
+        try {
+            runBlocking { node.start() }
+        } catch (error: IOException) {
+            runBlocking { node.stop() }
+            output.error.println("celeryusher node: cannot listen at ${addressesOf(node)}: ${error.message}")
+            return ExitStatus.WRONG
+        }
         val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -55,8 +63,10 @@
                 stopped.countDown()
             },
         )
-        runBlocking { node.start() }
         output.error.println("celeryusher node: ${node.settings.instance} takes calls at ${node.settings.addresses.callers}")
         stopped.await()
+        return ExitStatus.OK
     }
+
+    private fun addressesOf(node: Node): String = with(node.settings.addresses) { listOf(callers, control, frames, admin).joinToString() }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -1,8 +1,6 @@
 package org.celeryusher.node.runtime
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.HttpStatusCode
-import io.ktor.server.response.respondText
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -10,6 +8,9 @@
 import kotlinx.coroutines.launch
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.node.admin.AdminPages
+import org.celeryusher.node.admin.StatusReporter
+import org.celeryusher.node.admin.statusProviders
 import org.celeryusher.node.call.BackendServerClient
 import org.celeryusher.node.call.CallProxy
 import org.celeryusher.node.call.CallerEndpoint
@@ -18,6 +19,8 @@
 import org.celeryusher.node.call.Guard
 import org.celeryusher.node.control.LonePlatformReader
 import org.celeryusher.node.control.PlatformClient
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 
@@ -34,6 +37,10 @@
     /** What this node routes by. */
     public val routing: RoutingState = RoutingState(FleetPlace(settings.dataCentre, settings.service, settings.instance))
 
+    /** The metrics of this node. */
+    public val metrics: NodeMetrics = NodeMetrics(routing)
+
+    private val decisions = DecisionLog(settings.instance)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val limits = settings.limits
@@ -45,11 +52,15 @@
     private val proxy = CallProxy(settings.instance, routing, guard, frameClient, random)
     private val callers = CallerEndpoint(proxy, clock, limits)
     private val platform = PlatformClient(resources.httpClient, settings.platform, limits.maximumMessageBytes)
+    private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
+    private val statusProviders = statusProviders { }
+    private val reporter = StatusReporter(place, { incarnation }, clock.now(), routing, metrics, decisions, statusProviders)
+    private val admin = AdminPages(place, reporter, metrics, clock)
     private val http =
         NodeHttpServer(
             listOf(
                 HttpAddress(settings.addresses.callers, callers::answer),
-                HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
+                HttpAddress(settings.addresses.admin, admin::answer),
             ),
         )
 
--- a/node/src/test/kotlin/org/celeryusher/node/command/CommandLineTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/command/CommandLineTest.kt
@@ -21,7 +21,7 @@
     fun commandLinesEndWithTheirStatusAndText() {
         val cases =
             listOf(
-                Case("", ExitStatus.USAGE, "usage: celeryusher COMMAND", "check", "explain", "node"),
+                Case("", ExitStatus.USAGE, "usage: celeryusher COMMAND", "check", "explain", "status", "node"),
                 Case("--help", ExitStatus.OK, "usage: celeryusher COMMAND"),
                 Case("--version", ExitStatus.OK, "celeryusher "),
                 Case("chek", ExitStatus.USAGE, "there is no command \"chek\""),
@@ -61,6 +61,11 @@
                     "deadlineMilliseconds    45000   exception antwerp-4-slow-line: The housing associations",
                     "maximumAttempts         2       route archives",
                 ),
+                Case("status", ExitStatus.USAGE, "--node"),
+                Case("status --node here", ExitStatus.USAGE, "\"here\" is not HOST:PORT"),
+                Case("status --node 127.0.0.1:1", ExitStatus.WRONG, "127.0.0.1:1 cannot be reached"),
+                Case("status --node 127.0.0.1:1 --since never", ExitStatus.USAGE, "--since: \"never\" is not a time"),
+                Case("status --node 127.0.0.1:1 --since -3h", ExitStatus.USAGE, "--since"),
                 Case("node", ExitStatus.USAGE, "--settings"),
                 Case("node --settings /no/file", ExitStatus.USAGE, "/no/file"),
                 Case("node --settings $document", ExitStatus.USAGE, "antwerp.json: $"),
--- /dev/null
+++ b/node/src/test/kotlin/org/celeryusher/node/metrics/NodeMetricsTest.kt
@@ -0,0 +1,102 @@
+package org.celeryusher.node.metrics
+
+import arrow.core.getOrElse
+import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.configuration.ConfigurationParser
+import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.identity.DataCentreName
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.RankName
+import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.node.command.projectText
+import org.celeryusher.node.control.PlatformAnswer
+import org.celeryusher.node.runtime.RoutingState
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class NodeMetricsTest {
+    private val routing = RoutingState(FleetPlace(DataCentreName("antwerp-1"), ServiceName("billing-desk"), InstanceName("billing-desk-1")))
+    private val snapshot =
+        ConfigurationParser.parse(projectText("examples/antwerp.json").encodeToByteArray()).getOrElse { error("$it") }
+
+    @Test
+    fun whatIsCountedIsScraped() {
+        val metrics = filledMetrics()
+        routing.putInForce(snapshot)
+        val lines = metrics.scrape().lines()
+        val expected =
+            listOf(
+                """celeryusher_calls_total{outcome="ANSWERED",rank="lookups",route="invoices"} 2.0""",
+                """celeryusher_calls_total{outcome="OVERLOADED",rank="archives",route="archives"} 1.0""",
+                """celeryusher_calls_total{outcome="NO_ROUTE",rank="none",route="none"} 1.0""",
+                """celeryusher_call_duration_seconds_bucket{rank="lookups",route="invoices",le="0.005"} 1""",
+                """celeryusher_call_duration_seconds_count{rank="lookups",route="invoices"} 2""",
+                """celeryusher_retries_total{result="made"} 1.0""",
+                """celeryusher_retries_total{result="refused"} 1.0""",
+                """celeryusher_control_messages_total{direction="sent",traffic="gossip"} 1.0""",
+                """celeryusher_control_bytes_total{direction="received",traffic="configuration"} 900.0""",
+                """celeryusher_platform_calls_total{outcome="unavailable"} 1.0""",
+                """celeryusher_configuration_refused_total{cause="faults"} 1.0""",
+                """celeryusher_configuration_version 1.0""",
+                """celeryusher_configuration_source_age_seconds 7.0""",
+                """celeryusher_routes{state="held"} 6.0""",
+                """celeryusher_members{state="suspected"} 0.0""",
+                """celeryusher_guard_calls{state="queued"} 3.0""",
+                """celeryusher_guard_limit 6.0""",
+                """celeryusher_quarantine_requests 1.0""",
+            )
+        for (line in expected) assertContains(lines, line, message = lines.joinToString("\n"))
+    }
+
+    @Test
+    fun everyMetricStandsOnThePageOfAlerts() {
+        val page = projectText("docs/operators/alerts.md")
+        val names =
+            filledMetrics()
+                .scrape()
+                .lines()
+                .filter { it.startsWith("# TYPE ") }
+                .map { it.split(' ')[2].removeSuffix("_max") }
+        for (name in names) assertContains(page, "`$name", message = "$name is not documented")
+    }
+
+    @Test
+    fun routesThatAreGoneLeaveTheMetrics() {
+        val metrics = filledMetrics()
+        metrics.callEnded(RouteName("invoices"), RankName("archives"), null, 1.milliseconds)
+        metrics.callEnded(RouteName("gone"), RankName("lookups"), null, 1.milliseconds)
+        metrics.configurationTaken(snapshot)
+        val counts = metrics.callCounts()
+        assertEquals(listOf("archives/archives", "invoices/lookups", "null/null"), counts.map { "${it.route}/${it.rank}" })
+        assertFalse("gone" in metrics.scrape())
+    }
+
+    @Test
+    fun twoNodesOfOneProcessShareNothing() {
+        filledMetrics()
+        assertEquals(emptyList(), NodeMetrics(routing).callCounts())
+    }
+
+    private fun filledMetrics(): NodeMetrics =
+        NodeMetrics(routing).apply {
+            callEnded(RouteName("invoices"), RankName("lookups"), null, 4.milliseconds)
+            callEnded(RouteName("invoices"), RankName("lookups"), null, 40.milliseconds)
+            callEnded(RouteName("archives"), RankName("archives"), ErrorKind.OVERLOADED, 1.milliseconds)
+            unroutedCallEnded(ErrorKind.NO_ROUTE)
+            retryMade()
+            retryRefused()
+            controlSent(ControlTraffic.GOSSIP, 300)
+            controlReceived(ControlTraffic.CONFIGURATION, 900)
+            platformCallEnded(PlatformAnswer.Unavailable("down"))
+            configurationRefused()
+            observeGuard { GuardLoad(limit = 6, running = 6, queued = 3, ranks = emptyList()) }
+            observeSourceAge { 7.seconds }
+            observeQuarantine { 1 }
+        }
+}
