--- a/node/src/main/kotlin/org/celeryusher/node/admin/NodeStatus.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/NodeStatus.kt
@@ -15,6 +15,7 @@
 import org.celeryusher.kernel.membership.MembershipView
 import org.celeryusher.kernel.routing.RoutingTable
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.control.ControlStatus
 import org.celeryusher.node.log.Decision
 import org.celeryusher.node.metrics.CallCount
 
@@ -29,9 +30,12 @@
     public val upMilliseconds: Long,
     /** Why the node is not ready for calls; null when it is. */
     public val notReady: String? = null,
-    public val configuration: ConfigurationStatus,
+    /** The version in force; null when there is none. */
+    public val version: Long? = null,
+    /** What the control work knows, of the members only those that are not live. */
+    public val control: ControlStatus? = null,
     public val routes: RouteStatus,
-    public val members: MemberStatus,
+    public val members: MemberCounts,
     public val guard: GuardStatus? = null,
     /** The exceptions in force at this node, with their reasons. */
     public val exceptions: List<FleetException>,
@@ -60,42 +64,25 @@
 
 /** How many members a node knows in each state. */
 @Serializable
-public data class MemberStatus(
+public data class MemberCounts(
     public val live: Int,
     public val suspected: Int,
     public val leaving: Int,
     public val dead: Int,
-    /** The members that are not live. */
-    public val notLive: List<NotLiveMember>,
 ) {
     internal companion object {
-        private const val MAXIMUM_LISTED = 100
-
-        fun of(view: MembershipView): MemberStatus {
+        fun of(view: MembershipView): MemberCounts {
             val counts = view.members.groupingBy { it.state }.eachCount()
-            return MemberStatus(
+            return MemberCounts(
                 live = counts[MemberState.LIVE] ?: 0,
                 suspected = counts[MemberState.SUSPECTED] ?: 0,
                 leaving = counts[MemberState.LEAVING] ?: 0,
                 dead = counts[MemberState.DEAD] ?: 0,
-                notLive =
-                    view.members
-                        .filter { it.state != MemberState.LIVE }
-                        .sortedBy { it.instance }
-                        .take(MAXIMUM_LISTED)
-                        .map { NotLiveMember(it.instance, it.state) },
             )
         }
     }
 }
 
-/** A member that is suspected, leaving or dead. */
-@Serializable
-public data class NotLiveMember(
-    public val instance: InstanceName,
-    public val state: MemberState,
-)
-
 /** The load of the backend server beside a node, and what each rank may expect of it. */
 @Serializable
 public data class GuardStatus(
--- a/node/src/main/kotlin/org/celeryusher/node/admin/StatusProviders.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/StatusProviders.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.JsonElement
 import org.celeryusher.kernel.admission.GuardLoad
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.control.ControlStatus
 
 /** A part of a node's status that another package describes in its own shape. */
 public fun interface StatusSection {
@@ -12,7 +13,7 @@
 
 /** Where the status of a node gets those parts that it does not know itself; make one with [statusProviders]. */
 public class StatusProviders internal constructor(
-    internal val configuration: ((Moment) -> ConfigurationStatus)?,
+    internal val control: ((Moment) -> ControlStatus)?,
     internal val guardLoad: ((Moment) -> GuardLoad)?,
     internal val stopping: () -> Boolean,
     internal val sections: Map<String, StatusSection>,
@@ -20,14 +21,14 @@
 
 /** Names the providers of a [StatusProviders]; a part without a provider is left out of the status. */
 public class StatusProvidersBuilder internal constructor() {
-    private var configuration: ((Moment) -> ConfigurationStatus)? = null
+    private var control: ((Moment) -> ControlStatus)? = null
     private var guardLoad: ((Moment) -> GuardLoad)? = null
     private var stopping: () -> Boolean = { false }
     private val sections = mutableMapOf<String, StatusSection>()
 
-    /** The configuration in force, its source and its history; see [ConfigurationStatus.of]. */
-    public fun configuration(describe: (Moment) -> ConfigurationStatus) {
-        configuration = describe
+    /** What the control work knows: the version in force, its source, refused versions, members. */
+    public fun control(describe: (Moment) -> ControlStatus) {
+        control = describe
     }
 
     /** The load of the guard. */
@@ -48,7 +49,7 @@
         require(sections.put(name, section) == null) { "the status section \"$name\" is registered twice" }
     }
 
-    internal fun build(): StatusProviders = StatusProviders(configuration, guardLoad, stopping, sections)
+    internal fun build(): StatusProviders = StatusProviders(control, guardLoad, stopping, sections)
 }
 
 /** Returns the providers that [build] names. */
--- a/node/src/main/kotlin/org/celeryusher/node/admin/StatusReporter.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/StatusReporter.kt
@@ -3,7 +3,9 @@
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.control.ControlStatus
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.RoutingState
@@ -43,9 +45,10 @@
             incarnation = incarnation(),
             upMilliseconds = (now - started).inWholeMilliseconds,
             notReady = notReady()?.kind?.meaning,
-            configuration = providers.configuration?.invoke(now) ?: ConfigurationStatus(version = snapshot?.digest?.version),
+            version = snapshot?.digest?.version,
+            control = providers.control?.let { withoutLiveMembers(it(now)) },
             routes = RouteStatus.of(current.table),
-            members = MemberStatus.of(current.view),
+            members = MemberCounts.of(current.view),
             guard = providers.guardLoad?.let { GuardStatus.of(it(now), snapshot) },
             exceptions =
                 snapshot
@@ -59,4 +62,12 @@
             sections = providers.sections.mapValues { (_, section) -> section.describe(now) },
         )
     }
+
+    // The live members of a large fleet would make the page long; their number is counted.
+    private fun withoutLiveMembers(control: ControlStatus): ControlStatus =
+        control.copy(members = control.members.filter { it.state != MemberState.LIVE }.take(MAXIMUM_LISTED_MEMBERS))
+
+    private companion object {
+        const val MAXIMUM_LISTED_MEMBERS = 100
+    }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/command/StatusCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/StatusCommand.kt
@@ -86,11 +86,11 @@
     }
 }
 
-/** Returns this status without the events and decisions that are older than [since]. */
+/** Returns this status without the refused versions and decisions that are older than [since]. */
 internal fun NodeStatus.within(since: Duration): NodeStatus {
     val limit = since.inWholeMilliseconds
     return copy(
-        configuration = configuration.copy(events = configuration.events.filter { it.agoMilliseconds <= limit }),
+        control = control?.let { known -> known.copy(refused = known.refused.filter { it.agoMilliseconds <= limit }) },
         decisions = decisions.filter { it.agoMilliseconds <= limit },
     )
 }
--- a/node/src/main/kotlin/org/celeryusher/node/command/StatusText.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/StatusText.kt
@@ -2,7 +2,6 @@
 
 import org.celeryusher.kernel.configuration.ExceptionScope
 import org.celeryusher.kernel.configuration.FleetException
-import org.celeryusher.node.admin.ConfigurationEvent
 import org.celeryusher.node.admin.DecisionStatus
 import org.celeryusher.node.admin.GuardStatus
 import org.celeryusher.node.admin.NodeStatus
@@ -10,36 +9,47 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Lays out the status of a node for a person; [since] is how far back its events and decisions reach, null for all that are kept. */
+/** Lays out the status of a node for a person; [since] is how far back its refused versions and decisions reach, null for all that are kept. */
 internal class StatusText(
     private val status: NodeStatus,
     private val since: Duration?,
 ) {
     /** Returns the lines. */
-    fun lines(): List<String> = summary() + guard() + exceptions() + events() + calls() + decisions() + sections() + forgotten()
+    fun lines(): List<String> = summary() + guard() + exceptions() + refused() + conflicts() + calls() + decisions() + sections() + forgotten()
 
     private fun summary(): List<String> {
-        val configuration = status.configuration
-        val members = status.members
+        val held = status.control?.configuration
         val rows =
             listOf(
                 listOf("instance", "${status.instance} (service ${status.service}, data centre ${status.dataCentre})"),
                 listOf("up for", age(status.upMilliseconds)),
                 listOf("ready", status.notReady?.let { "no: $it" } ?: "yes"),
-                listOf("version", configuration.version?.toString() ?: "none"),
-                listOf("held for", configuration.heldForMilliseconds?.let(::age) ?: UNKNOWN),
-                listOf("taken from", configuration.source ?: UNKNOWN),
-                listOf("source's news", configuration.sourceAgeMilliseconds?.let { "${age(it)} old" } ?: UNKNOWN),
+                listOf("version", status.version?.toString() ?: "none"),
+                listOf("held for", held?.let { age(it.heldForMilliseconds) } ?: UNKNOWN),
+                listOf("taken from", held?.source ?: UNKNOWN),
+                listOf("source's news", sourceAge()),
                 listOf("routes", "${status.routes.resolved.size} in service, ${status.routes.held.size} held${listed(status.routes.held)}"),
-                listOf(
-                    "members",
-                    "${members.live} live, ${members.suspected} suspected, ${members.leaving} leaving, ${members.dead} dead" +
-                        listed(members.notLive.map { "${it.instance} ${it.state.name.lowercase()}" }),
-                ),
+                listOf("members", members()),
             )
         return rows.map { (name, value) -> name.padEnd(NAME_WIDTH) + value }
     }
 
+    private fun sourceAge(): String =
+        status.control
+            ?.configurationSource
+            ?.ageMilliseconds
+            ?.let { "${age(it)} old" } ?: UNKNOWN
+
+    private fun members(): String {
+        val counts = status.members
+        val notLive =
+            status.control
+                ?.members
+                .orEmpty()
+                .map { "${it.instance} ${it.state.name.lowercase()}" }
+        return "${counts.live} live, ${counts.suspected} suspected, ${counts.leaving} leaving, ${counts.dead} dead${listed(notLive)}"
+    }
+
     private fun guard(): List<String> {
         val guard = status.guard ?: return emptyList()
         val line = "slots".padEnd(NAME_WIDTH) + "${guard.running} running of ${guard.limit}, ${guard.queued} queued"
@@ -60,33 +70,31 @@
             status.exceptions.map { exception: FleetException -> listOf(exception.name, scope(exception.scope), exception.reason) },
         )
 
-    private fun events(): List<String> =
+    private fun refused(): List<String> =
         section(
-            "versions taken and refused$period",
-            listOf("ago", "version", "from", "what"),
-            status.configuration.events.map(::eventRow),
+            "refused versions$period",
+            listOf("ago", "version", "from", "faults"),
+            status.control
+                ?.refused
+                .orEmpty()
+                .map { listOf(age(it.agoMilliseconds), it.version?.toString() ?: UNKNOWN, it.source, faults(it.faults)) },
         )
 
-    private fun eventRow(event: ConfigurationEvent): List<String> {
-        val ago = age(event.agoMilliseconds)
-        return when (event) {
-            is ConfigurationEvent.Taken -> {
-                val below = event.belowFloor?.let { ", though peers had reported version $it" }.orEmpty()
-                listOf(ago, event.version.toString(), event.source, "taken$below")
-            }
-
-            is ConfigurationEvent.Refused -> {
-                val further = if (event.furtherFaults > 0) "; and ${event.furtherFaults} more" else ""
-                listOf(ago, event.version?.toString() ?: UNKNOWN, event.source, "refused: ${event.faults.joinToString("; ")}$further")
-            }
-
-            is ConfigurationEvent.Conflict -> {
-                val hashes = "content ${event.offeredHash}, held ${event.heldHash}"
-                listOf(ago, event.version.toString(), event.source, "refused: the held version's number with other content ($hashes)")
-            }
-        }
+    private fun faults(faults: List<String>): String {
+        val further = faults.size - FAULTS_SHOWN
+        return faults.take(FAULTS_SHOWN).joinToString("; ") + if (further > 0) "; and $further more" else ""
     }
 
+    private fun conflicts(): List<String> =
+        section(
+            "other content under the version in force",
+            listOf("version", "from", "content hash"),
+            status.control
+                ?.conflicts
+                .orEmpty()
+                .map { listOf(it.version.toString(), it.source, it.contentHash.toString()) },
+        )
+
     private fun calls(): List<String> =
         section(
             "calls since the start",
@@ -143,6 +151,7 @@
     private companion object {
         const val NAME_WIDTH = 15
         const val MILLISECONDS_SHOWN = 10_000L
+        const val FAULTS_SHOWN = 10
         const val UNKNOWN = "unknown"
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/metrics/NodeMetrics.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/metrics/NodeMetrics.kt
@@ -10,11 +10,10 @@
 import org.celeryusher.kernel.identity.RankName
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.membership.MemberState
-import org.celeryusher.node.control.PlatformAnswer
+import org.celeryusher.node.control.ControlStatus
 import org.celeryusher.node.runtime.RoutingState
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
-import kotlin.time.DurationUnit
 
 /**
  * The metrics of one node; docs/operators/alerts.md tells their names and thresholds.
@@ -29,12 +28,7 @@
     private val unrouted = UnroutedMeters(registry)
     private val retriesMade = counter("celeryusher.retries", "result", "made")
     private val retriesRefused = counter("celeryusher.retries", "result", "refused")
-    private val refusedForFaults = counter("celeryusher.configuration.refused", "cause", "faults")
-    private val refusedForConflict = counter("celeryusher.configuration.refused", "cause", "conflict")
-    private val platformValues = counter("celeryusher.platform.calls", "outcome", "value")
-    private val platformUnchanged = counter("celeryusher.platform.calls", "outcome", "unchanged")
-    private val platformUnavailable = counter("celeryusher.platform.calls", "outcome", "unavailable")
-    private val controlMeters = ControlTraffic.entries.map { ControlMeters(registry, it) }
+    private val controlMeters = ControlMeters(registry)
 
     init {
         gauge("celeryusher.configuration.version") {
@@ -79,31 +73,8 @@
     /** Counts a retry that the retry budget did not allow. */
     public fun retryRefused(): Unit = retriesRefused.increment()
 
-    /** Counts a control message of [bytes] that was sent to another node. */
-    public fun controlSent(
-        traffic: ControlTraffic,
-        bytes: Int,
-    ): Unit = controlMeters[traffic.ordinal].sent(bytes)
-
-    /** Counts a control message of [bytes] that was received from another node. */
-    public fun controlReceived(
-        traffic: ControlTraffic,
-        bytes: Int,
-    ): Unit = controlMeters[traffic.ordinal].received(bytes)
-
-    /** Counts one read of the platform. */
-    public fun platformCallEnded(answer: PlatformAnswer<*>): Unit =
-        when (answer) {
-            is PlatformAnswer.Value -> platformValues.increment()
-            is PlatformAnswer.Unchanged -> platformUnchanged.increment()
-            is PlatformAnswer.Unavailable -> platformUnavailable.increment()
-        }
-
-    /** Counts a configuration document that was refused for its faults. */
-    public fun configurationRefused(): Unit = refusedForFaults.increment()
-
-    /** Counts a configuration that was refused because it has the held version's number and other content. */
-    public fun configurationConflicted(): Unit = refusedForConflict.increment()
+    /** Shows what the control work knows and has cost, which [read] returns; to be called once. */
+    public fun observeControl(read: () -> ControlStatus): Unit = controlMeters.observe(read)
 
     /** Shows the load of the guard, which [read] returns; to be called once. */
     public fun observeGuard(read: () -> GuardLoad) {
@@ -112,10 +83,6 @@
         gauge("celeryusher.guard.limit") { read().limit }
     }
 
-    /** Shows the age of the newest word from the platform, which [read] returns, not a number while there is none; to be called once. */
-    public fun observeSourceAge(read: () -> Duration?): Unit =
-        gauge("celeryusher.configuration.source.age.seconds") { read()?.toDouble(DurationUnit.SECONDS) ?: Double.NaN }
-
     /** Shows how many requests are quarantined, which [read] returns; to be called once. */
     public fun observeQuarantine(read: () -> Int): Unit = gauge("celeryusher.quarantine.requests") { read() }
 
@@ -137,7 +104,10 @@
     }
 
     /** Returns all metrics in the text format of Prometheus. */
-    public fun scrape(): String = registry.scrape()
+    public fun scrape(): String {
+        controlMeters.refresh()
+        return registry.scrape()
+    }
 
     private fun metersOf(
         route: RouteName,
