--- a/node/src/main/kotlin/org/celeryusher/node/command/StatusText.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/StatusText.kt
@@ -15,7 +15,8 @@
     private val since: Duration?,
 ) {
     /** Returns the lines. */
-    fun lines(): List<String> = summary() + guard() + exceptions() + refused() + conflicts() + calls() + decisions() + sections() + forgotten()
+    fun lines(): List<String> =
+        summary() + guard() + exceptions() + refused() + conflicts() + calls() + decisions() + sections() + forgotten()
 
     private fun summary(): List<String> {
         val held = status.control?.configuration
