--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -4,6 +4,7 @@
 import org.celeryusher.kernel.configuration.ConfigurationSnapshot
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.error.RunStatus
+import org.celeryusher.kernel.execution.AnswerReason
 import org.celeryusher.kernel.execution.AttemptId
 import org.celeryusher.kernel.execution.CallProgress
 import org.celeryusher.kernel.execution.CrashVerdict
@@ -19,6 +20,7 @@
 import org.celeryusher.kernel.routing.HeldRoute
 import org.celeryusher.kernel.routing.ResolvedRoute
 import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import kotlin.random.Random
@@ -40,17 +42,18 @@
     private val crashes: CrashRegister,
     private val clock: ProcessClock,
     private val random: Random,
-    private val observer: CallObserver,
+    private val metrics: NodeMetrics,
+    private val decisions: DecisionLog,
     private val awaitFreshView: suspend () -> Unit,
 ) {
     /** Routes and runs [request]. */
     suspend fun run(request: CallRequest): ProxyAnswer {
         awaitFreshView()
         val current = routing.current
-        val table = current.table ?: return failed(ErrorKind.NO_CONFIGURATION)
+        val table = current.table ?: return unrouted(ErrorKind.NO_CONFIGURATION)
         return when (val route = table.match(request.method, request.path)) {
-            null -> failed(ErrorKind.NO_ROUTE, "${request.method} ${request.path}")
-            is HeldRoute -> failed(ErrorKind.NO_ENDPOINT, route.declaration.service.value)
+            null -> unrouted(ErrorKind.NO_ROUTE, "${request.method} ${request.path}")
+            is HeldRoute -> unrouted(ErrorKind.NO_ENDPOINT, route.declaration.service.value)
             is ResolvedRoute -> runObserved(route, request, checkNotNull(current.snapshot))
         }
     }
@@ -94,7 +97,8 @@
         snapshot: ConfigurationSnapshot,
     ): ProxyAnswer {
         val answer = runOn(route, request, snapshot)
-        observer.callEnded(route, (answer.result as? CallResult.Failed)?.kind, clock.now() - request.arrived, answer.retried)
+        val kind = (answer.result as? CallResult.Failed)?.kind
+        metrics.callEnded(route.declaration.name, route.declaration.rank, kind, clock.now() - request.arrived)
         return answer
     }
 
@@ -140,8 +144,8 @@
             noteCrash(call.fingerprint, reply)
             val decision = selection.afterAttempt(call.route, reply.result, progressOf(call, tried, reply), clock.now())
             when (decision) {
-                is RetryDecision.Answer -> return ProxyAnswer(reply.result, decision.markRetried)
-                is RetryDecision.Retry -> Unit
+                is RetryDecision.Answer -> return answerAfter(reply, decision)
+                is RetryDecision.Retry -> metrics.retryMade()
             }
             if (crashes.verdict(call.fingerprint, clock.now()) is CrashVerdict.Quarantined) return ProxyAnswer(reply.result, retried = true)
             suspected = suspected || reply.crashes > 0
@@ -149,6 +153,14 @@
         }
     }
 
+    private fun answerAfter(
+        reply: GuardReply,
+        decision: RetryDecision.Answer,
+    ): ProxyAnswer {
+        if (decision.reason == AnswerReason.BUDGET_SPENT) metrics.retryRefused()
+        return ProxyAnswer(reply.result, decision.markRetried)
+    }
+
     private suspend fun place(
         endpoint: Member,
         attempt: AttemptId,
@@ -191,7 +203,8 @@
         val ticket = Ticket.decode(text).fold({ return CallResult.Failed(it) }, { it })
         val owner = routing.current.view[ticket.owner] ?: return CallResult.Failed(ErrorKind.TICKET_OWNER_GONE, ticket.owner.value)
         val attempt = AttemptId.random(random)
-        DecisionLog.decision(
+        decisions.decision(
+            clock.now(),
             "routing",
             owner.instance.value,
             "owner of the ticket",
@@ -265,7 +278,14 @@
         route: ResolvedRoute,
         entry: EntryDecision.Refuse,
     ): ProxyAnswer {
-        DecisionLog.decision("entry", "refused", "guards refuse this rank", "route" to route.declaration.name, "share" to entry.probability)
+        decisions.decision(
+            clock.now(),
+            "entry",
+            "refused",
+            "guards refuse this rank",
+            "route" to route.declaration.name,
+            "share" to entry.probability,
+        )
         return ProxyAnswer(CallResult.Failed(ErrorKind.OVERLOADED, "at the entry", ENTRY_RETRY_AFTER))
     }
 
@@ -275,7 +295,8 @@
         choice: EndpointChoice.Chosen,
         attempts: Int,
     ) {
-        DecisionLog.decision(
+        decisions.decision(
+            clock.now(),
             "routing",
             choice.endpoint.instance.value,
             choice.reason.name,
@@ -290,6 +311,14 @@
 
     private fun badDeadline(asked: String): String = "${CeleryusherHeaders.DEADLINE}: \"$asked\" is not a whole number of milliseconds"
 
+    private fun unrouted(
+        kind: ErrorKind,
+        detail: String = "",
+    ): ProxyAnswer {
+        metrics.unroutedCallEnded(kind)
+        return failed(kind, detail)
+    }
+
     private fun failed(
         kind: ErrorKind,
         detail: String = "",
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
@@ -10,6 +10,8 @@
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.routing.DataCentreDistances
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import org.celeryusher.node.runtime.SharedResources
@@ -28,27 +30,28 @@
     private val scope: CoroutineScope,
     private val clock: ProcessClock,
     random: Random,
-    observer: CallObserver,
+    metrics: NodeMetrics,
+    decisions: DecisionLog,
     awaitFreshView: suspend () -> Unit,
 ) {
     /** What is known of requests that stop backend servers, to be exchanged with other nodes. */
-    val crashes: CrashRegister = CrashRegister(clock)
+    val crashes: CrashRegister = CrashRegister(clock, decisions)
 
     private val limits = settings.limits
     private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
     private val backendServer = BackendServerClient(resources.httpClient, settings.backendServer, limits.maximumAnswerBytes)
-    private val guard = Guard(settings.instance, incarnation.start, backendServer, crashes, clock, random)
+    private val guard = Guard(settings.instance, incarnation.start, backendServer, crashes, clock, random, decisions)
     private val maximumFrameBytes = maxOf(limits.maximumBodyBytes, limits.maximumAnswerBytes) + limits.maximumHeaderBytes * 2
     private val frameServer = FrameServer(settings.addresses.frames, resources.selector, guard, incarnation.start, clock, maximumFrameBytes)
     private val frameClient = FrameClient(resources.selector, scope, clock, maximumFrameBytes)
     private val distances = DataCentreDistances(settings.dataCentre, settings.control.interDataCentreMicroseconds.microseconds)
     private val selection = EndpointSelection(distances, random)
     private val proxy =
-        CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, observer, awaitFreshView)
+        CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, metrics, decisions, awaitFreshView)
     private val callers = CallerEndpoint(proxy, clock, limits)
 
-    /** The guard's load, or null before a configuration with this node's service is in force. */
-    val load: GuardLoad? get() = guard.load()
+    /** The guard's load; that of a guard that takes nothing before a configuration with this node's service is in force. */
+    val load: GuardLoad get() = guard.load() ?: NO_LOAD
 
     /** How many calls of callers and attempts of other nodes are in flight here. */
     val inFlight: Int get() = callers.inFlight + guard.inFlight
@@ -104,6 +107,7 @@
     }
 
     private companion object {
+        val NO_LOAD = GuardLoad(limit = 0, running = 0, queued = 0, ranks = emptyList())
         val DRAIN_POLL = 10.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
@@ -18,6 +18,7 @@
 /** What this node knows of requests that stop backend servers; shared by its proxy, its guard and the gossip between nodes. */
 public class CrashRegister(
     private val clock: ProcessClock,
+    private val decisions: DecisionLog,
 ) : GossipExtras {
     private val suspects = CrashSuspects()
 
@@ -36,7 +37,7 @@
         now: Moment,
     ): List<QuarantineNews> {
         val news = suspects.crashed(running, knownToBeAll = true, quarantine, now)
-        DecisionLog.decision("crash", "suspects run alone", "the backend server stopped", "requests" to running.size, "news" to news)
+        decisions.decision(now, "crash", "suspects run alone", "the backend server stopped", "requests" to running.size, "news" to news)
         return news
     }
 
@@ -59,7 +60,7 @@
         news: QuarantineNews,
         now: Moment,
     ) {
-        if (suspects.merge(news, now)) DecisionLog.decision("quarantine", "taken over", "news from another node", "news" to news)
+        if (suspects.merge(news, now)) decisions.decision(now, "quarantine", "taken over", "news from another node", "news" to news)
     }
 
     /** Returns the fingerprints that are refused at [now]. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -43,6 +43,7 @@
     private val crashes: CrashRegister,
     private val clock: ProcessClock,
     random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val origin = clock.now()
     private val lock = Any()
@@ -265,7 +266,7 @@
             val task = tasks[decision.key] ?: continue
             when (decision) {
                 is AdmissionDecision.Start -> startTask(task, decision, now)
-                is AdmissionDecision.Enqueued -> logDecision(task, "queued", "no free slot", decision)
+                is AdmissionDecision.Enqueued -> logDecision(task, "queued", "no free slot", decision, now)
                 is AdmissionDecision.Refuse -> refuseTask(task, decision, now)
             }
         }
@@ -277,7 +278,7 @@
         now: Moment,
     ) {
         task.startedAt = now
-        logDecision(task, "start", decision.reason.name, decision)
+        logDecision(task, "start", decision.reason.name, decision, now)
         when (val start = attempts.start(task.call.reference, task.call.idempotent, uptime(now))) {
             is AttemptStart.Run -> {
                 task.turn.complete(null)
@@ -296,7 +297,7 @@
         decision: AdmissionDecision.Refuse<AttemptId>,
         now: Moment,
     ) {
-        logDecision(task, "refused", decision.cause.name, decision)
+        logDecision(task, "refused", decision.cause.name, decision, now)
         val outcome = attempts.refuse(task.call.reference, decision.error, uptime(now))
         val result = failureOf(outcome, decision.cause.name, decision.retryAfter)
         tasks -= task.call.reference.id
@@ -309,8 +310,10 @@
         decided: String,
         reason: String,
         decision: AdmissionDecision<AttemptId>,
+        now: Moment,
     ) {
-        DecisionLog.decision(
+        decisions.decision(
+            now,
             "admission",
             decided,
             reason,
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -1,8 +1,6 @@
 package org.celeryusher.node.runtime
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.HttpStatusCode
-import io.ktor.server.response.respondText
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -11,11 +9,15 @@
 import kotlinx.coroutines.launch
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.node.admin.AdminPages
+import org.celeryusher.node.admin.StatusReporter
+import org.celeryusher.node.admin.statusProviders
 import org.celeryusher.node.call.BackendServerHealth
-import org.celeryusher.node.call.CallObserver
 import org.celeryusher.node.call.CallSide
 import org.celeryusher.node.control.BackendServerState
 import org.celeryusher.node.control.ControlPlane
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,35 +25,54 @@
 /** The node beside one backend server: proxy, guard, distributor and member in one. */
 public class Node(
     public val settings: NodeSettings,
-    private val resources: SharedResources = SharedResources(),
+    resources: SharedResources = SharedResources(),
     private val clock: ProcessClock = ProcessClock.SYSTEM,
     random: Random = Random.Default,
 ) {
     /** This life of the node. */
     public val incarnation: Incarnation = Incarnation((System.currentTimeMillis() shl RANDOM_BITS) or random.nextLong(1L shl RANDOM_BITS))
 
+    private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
+
     /** What this node routes by. */
-    public val routing: RoutingState = RoutingState(FleetPlace(settings.dataCentre, settings.service, settings.instance))
+    public val routing: RoutingState = RoutingState(place)
+
+    /** The metrics of this node. */
+    public val metrics: NodeMetrics = NodeMetrics(routing)
 
+    private val decisions = DecisionLog(settings.instance)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
-    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, CallObserver.NONE, ::awaitFreshView)
+    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, metrics, decisions, ::awaitFreshView)
     private val healthInterval = settings.control.healthIntervalMilliseconds.milliseconds
     private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
 
     /** Keeps configuration and membership up to date. */
     public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes)
+
+    @Volatile
+    private var isStopping = false
+
+    private val statusProviders =
+        statusProviders {
+            control { now -> control.status(now) }
+            guardLoad { calls.load }
+            stopping { isStopping }
+        }
+    private val reporter = StatusReporter(place, { incarnation }, clock.now(), routing, metrics, decisions, statusProviders)
+    private val admin = AdminPages(place, reporter, metrics, clock)
     private val http =
         NodeHttpServer(
             listOf(
                 HttpAddress(settings.addresses.callers, calls::answer),
                 HttpAddress(settings.addresses.control, control::answer),
-                HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
+                HttpAddress(settings.addresses.admin, admin::answer),
             ),
         )
 
     /** Listens at all addresses and begins to take part in the fleet. */
     public suspend fun start() {
+        observe()
         calls.start()
         http.start()
         scope.launch { health.run() }
@@ -64,6 +85,7 @@
      * limit, and closes everything.
      */
     public suspend fun stop() {
+        isStopping = true
         control.leave()
         calls.drain()
         delay(settings.control.leaveNoticeMilliseconds.milliseconds)
@@ -74,11 +96,18 @@
 
     /** Ends at once as a killed process would: tells nobody, waits for nothing. */
     public suspend fun halt() {
-        http.stop()
         calls.close()
+        http.stop()
         job.cancelAndJoin()
     }
 
+    private fun observe() {
+        metrics.observeControl { control.status() }
+        metrics.observeGuard { calls.load }
+        metrics.observeQuarantine { calls.crashes.news(clock.now()).size }
+        routing.onChange { current -> current.snapshot?.let(metrics::configurationTaken) }
+    }
+
     // A process that was paused must not place work by what it believed before; the control plane bounds the wait.
     private suspend fun awaitFreshView() {
         while (control.needsRefresh) delay(REFRESH_POLL)
