--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -29,6 +29,7 @@
     /** Answers one call of a caller. */
     suspend fun answer(call: ApplicationCall) {
         val arrived = clock.now()
+        RequestTarget.faultOf(call.request.uri)?.let { return write(call, CallResult.Failed(ErrorKind.BAD_REQUEST, it)) }
         val headers =
             call.request.headers
                 .entries()
