--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -55,6 +55,7 @@
 
     private suspend fun answerWhileServing(call: ApplicationCall) {
         val arrived = clock.now()
+        RequestTarget.faultOf(call.request.uri)?.let { return write(call, CallResult.Failed(ErrorKind.BAD_REQUEST, it)) }
         val headers =
             call.request.headers
                 .entries()
