Keep the control decisions of each node for its status

Cause: the control plane logged its decisions for the whole process, so a node's status could not show its own. Change: ControlPlane takes the node's DecisionLog and hands it to the keepers of configuration and membership; DecisionLog reads the node's clock itself, so that the calls keep their shape. Conclusion: /status of a node over loopback shows the decision by which its version came in force.

--- a/node/src/main/kotlin/org/celeryusher/node/control/ConfigurationKeeper.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ConfigurationKeeper.kt
@@ -33,6 +33,7 @@
     private val tuning: ControlTuning,
     startedAt: Moment,
     private val random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val floor = VersionFloor(startedAt, own.dataCentre, tuning.floor)
     private val holder = VersionHolder(floor)
@@ -157,7 +158,7 @@
     private fun noteConflict(conflict: SpreadDecision.Conflict) {
         if (announcedConflicts.put(conflict.peer, conflict.announced) == conflict.announced) return
         if (announcedConflicts.size > REMEMBERED_CONFLICTS) announcedConflicts.remove(announcedConflicts.keys.first())
-        DecisionLog.decision(
+        decisions.decision(
             SUBJECT,
             "kept ${conflict.held.version}",
             "a peer has other content under the same version",
@@ -174,7 +175,7 @@
         when (decision) {
             is OfferDecision.InForce -> {
                 val reason = if (decision.belowFloor == null) "newer than the one before" else "the wait for a higher version is over"
-                DecisionLog.decision(
+                decisions.decision(
                     SUBJECT,
                     "in force ${decision.held.snapshot.digest.version}",
                     reason,
@@ -185,7 +186,7 @@
             }
             is OfferDecision.AlreadyHeld -> Unit
             is OfferDecision.Older ->
-                DecisionLog.decision(
+                decisions.decision(
                     SUBJECT,
                     "kept ${decision.held.version}",
                     "older",
@@ -193,7 +194,7 @@
                     "offered" to decision.offered.version,
                 )
             is OfferDecision.ConflictingContent ->
-                DecisionLog.decision(
+                decisions.decision(
                     SUBJECT,
                     "refused ${decision.offered.version}",
                     "same version as the held one, other content",
@@ -201,10 +202,10 @@
                 )
             is OfferDecision.Refused ->
                 if (!decision.repeated) {
-                    DecisionLog.decision(SUBJECT, "refused", decision.faults.joinToString("; "), "source" to source)
+                    decisions.decision(SUBJECT, "refused", decision.faults.joinToString("; "), "source" to source)
                 }
             is OfferDecision.HeldBelowFloor ->
-                DecisionLog.decision(
+                decisions.decision(
                     SUBJECT,
                     "waits ${decision.offered.version}",
                     "the version that peers hold is not known yet, or is higher",
--- a/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
@@ -32,6 +32,7 @@
     private val routing: RoutingState,
     private val startedAt: Moment,
     private val random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val membership = Membership(own, seeds, settings)
     private var wasListedAsStaying = false
@@ -69,7 +70,7 @@
         now: Moment,
     ): List<ControlAction> {
         if (isLeaving) return emptyList()
-        DecisionLog.decision("membership", "leave", reason, "instance" to own.instance)
+        decisions.decision("membership", "leave", reason, "instance" to own.instance)
         return handle(MembershipEvent.LeaveStarted, now)
     }
 
@@ -119,7 +120,7 @@
     }
 
     private fun log(change: MemberChange): Unit =
-        DecisionLog.decision(
+        decisions.decision(
             "membership",
             change.to?.name ?: "FORGOTTEN",
             change.reason.name,
@@ -130,7 +131,7 @@
     private fun log(
         decided: String,
         reason: String,
-    ): Unit = DecisionLog.decision("membership", decided, reason, "instance" to own.instance)
+    ): Unit = decisions.decision("membership", decided, reason, "instance" to own.instance)
 
     private class Handled(
         val reply: GossipMessage?,
--- a/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
@@ -2,7 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.celeryusher.kernel.identity.InstanceName
-import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.runtime.ProcessClock
 import java.util.concurrent.ConcurrentHashMap
 
 /**
@@ -13,6 +13,7 @@
  */
 public class DecisionLog(
     private val instance: InstanceName,
+    private val clock: ProcessClock,
     private val capacity: Int = DEFAULT_CAPACITY,
 ) {
     private val records = ConcurrentHashMap<String, DecisionRecord>()
@@ -29,13 +30,12 @@
      * The inputs are turned into text when the line is written or the status is read, and must not change after this call.
      */
     public fun decision(
-        now: Moment,
         subject: String,
         decided: String,
         reason: String,
         vararg inputs: Pair<String, Any?>,
     ) {
-        recordOf(subject).add(Decision(now, subject, decided, reason, inputs))
+        recordOf(subject).add(Decision(clock.now(), subject, decided, reason, inputs))
         write(subject, decided, reason, instance, inputs)
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -38,7 +38,7 @@
     /** The metrics of this node. */
     public val metrics: NodeMetrics = NodeMetrics(routing)
 
-    private val decisions = DecisionLog(settings.instance)
+    private val decisions = DecisionLog(settings.instance, clock)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val limits = settings.limits
@@ -51,7 +51,8 @@
     private val callers = CallerEndpoint(proxy, clock, limits)
 
     /** Keeps configuration and membership up to date. */
-    public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random)
+    public val control: ControlPlane =
+        ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, decisions = decisions)
 
     private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
     private val statusProviders = statusProviders { control { now -> control.status(now) } }
--- a/node/src/test/kotlin/org/celeryusher/node/admin/AdminPagesTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/admin/AdminPagesTest.kt
@@ -50,6 +50,8 @@
             lone.awaitRoutes()
             val status = Json.decodeFromString<NodeStatus>(lone.get(lone.admin, "/status").body())
             assertEquals(1, status.version)
+            assertEquals("platform", status.control?.configuration?.source)
+            assertContains(status.decisions.map { "${it.subject}: ${it.decided}" }, "configuration: in force 1")
             assertEquals(null, status.notReady)
             assertEquals(listOf("archives"), status.routes.resolved.map { it.value })
             assertEquals(5, status.routes.held.size)
--- a/node/src/test/kotlin/org/celeryusher/node/log/DecisionLogTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/log/DecisionLogTest.kt
@@ -7,11 +7,16 @@
 import kotlin.test.assertTrue
 
 class DecisionLogTest {
+    private var now = Moment(0)
+
     @Test
     fun theLatestOfEachSubjectAreKeptAndTheRestCounted() {
-        val log = DecisionLog(InstanceName("records-hub-1"), capacity = 2)
-        log.decision(Moment(1), "membership", "suspected", "no answer", "member" to "billing-desk-2")
-        for (nanoseconds in 2L..6L) log.decision(Moment(nanoseconds), "routing", "endpoint-$nanoseconds", "least loaded")
+        val log = DecisionLog(InstanceName("records-hub-1"), { now }, capacity = 2)
+        log.decision("membership", "suspected", "no answer", "member" to "billing-desk-2")
+        for (nanoseconds in 2L..6L) {
+            now = Moment(nanoseconds)
+            log.decision("routing", "endpoint-$nanoseconds", "least loaded")
+        }
         assertEquals(listOf("suspected", "endpoint-5", "endpoint-6"), log.latest.map { it.decided })
         assertEquals(mapOf("member" to "billing-desk-2"), log.latest[0].inputs)
         assertEquals(3, log.forgotten)
@@ -19,8 +24,8 @@
 
     @Test
     fun manySubjectsStayWithinABound() {
-        val log = DecisionLog(InstanceName("records-hub-1"), capacity = 2)
-        for (number in 1L..1_000L) log.decision(Moment(number), "subject-$number", "done", "test")
+        val log = DecisionLog(InstanceName("records-hub-1"), { now }, capacity = 2)
+        for (number in 1..1_000) log.decision("subject-$number", "done", "test")
         assertTrue(log.latest.size <= 2 * (DecisionLog.MAXIMUM_SUBJECTS + 1), "${log.latest.size} are kept")
     }
 }
--- a/node/src/test/kotlin/org/celeryusher/node/runtime/LoneNode.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/LoneNode.kt
@@ -47,7 +47,7 @@
                 backendServer = server.address,
                 platform = platform.address,
                 limits = limits,
-                control = ControlSettings(floorWaitMilliseconds = 100, watchMilliseconds = 200, readsPlatformAlone = true),
+                control = ControlSettings(floorWaitMilliseconds = 100, watchMilliseconds = 200),
             ),
         )
 
