Name the deciding node apart from the instance in decision log lines

Cause: membership decisions have an input named instance, which displaced the name of the node that decided. Change: the deciding node stands under node.

--- a/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
@@ -71,7 +71,7 @@
                 message = subject
                 payload =
                     buildMap {
-                        if (instance != null) put("instance", instance.value)
+                        if (instance != null) put("node", instance.value)
                         put("decided", decided)
                         put("reason", reason)
                         inputs.forEach { (name, value) -> put(name, value?.toString()) }
