--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Correspondence.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Correspondence.kt
@@ -23,12 +23,9 @@
                 ?.let(table::get)
                 ?.takeIf { it.state == MemberState.SUSPECTED || it.state == MemberState.DEAD }
                 ?.toNews()
-        val queued =
-            queue
-                .take(table.fleetSize)
-                .filter { it != peer && it != self.instance }
-                .mapNotNull { table[it]?.toNews() }
-        return GossipMessage(self.toNews(), table.hash(), listOfNotNull(aboutPeer) + queued)
+        val queued = queue.take(table.fleetSize) { if (it == self.instance) self.toNews() else table[it]?.toNews() }
+        val others = queued.filter { it.instance != peer && it.instance != self.instance }
+        return GossipMessage(self.toNews(), table.hash(), listOfNotNull(aboutPeer) + others)
     }
 
     /** Returns an exchange under a new number; [complete] adds to its message. */
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberJudgement.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberJudgement.kt
@@ -145,7 +145,7 @@
                 }
             MemberState.DEAD -> adoptDeath(record, news, reason, now)
         }
-        if (record.state == news.state) queue.add(record.instance)
+        if (record.state == news.state) queue.add(record.instance, isUrgent = news.state == MemberState.LEAVING)
     }
 
     private fun adoptDeath(
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberNews.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberNews.kt
@@ -29,11 +29,18 @@
     @SerialName("s") public val state: MemberState = MemberState.LIVE,
     /** The node whose own probes led to a suspicion; null for the other states. */
     @SerialName("b") public val suspectedBy: InstanceName? = null,
-    /** Where the member is; left out for suspected and dead members, which the receiver knows or need not know. */
+    /** Where the member is; left out where the receiver most likely knows it or need not know. */
     @SerialName("p") public val place: MemberPlace? = null,
 ) {
     public val incarnation: Incarnation get() = Incarnation(start, refutation)
 
+    /** Roughly the length of this news in JSON. */
+    internal val estimatedBytes: Int
+        get() {
+            val placed = place?.let { PLACE_BYTES + it.service.value.length + it.dataCentre.value.length } ?: 0
+            return BARE_BYTES + instance.value.length + (suspectedBy?.value?.length ?: 0) + placed
+        }
+
     /** Returns whether this news replaces [other] about the same instance. */
     public fun isNewerThan(other: MemberNews): Boolean = isNewerThan(other.incarnation, other.state)
 
@@ -44,6 +51,11 @@
         val byIncarnation = incarnation.compareTo(otherIncarnation)
         return byIncarnation > 0 || byIncarnation == 0 && state > otherState
     }
+
+    private companion object {
+        const val BARE_BYTES = 60
+        const val PLACE_BYTES = 110
+    }
 }
 
 /** The service, data centre and addresses of a member. */
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberProbing.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberProbing.kt
@@ -109,6 +109,15 @@
         step += exchange
     }
 
+    /** Probes [target] out of turn, unless a probe of it runs, or too many run. */
+    fun probeNow(
+        target: MemberRecord,
+        step: Step,
+    ) {
+        val isProbed = pending.values.any { it.target == target.instance }
+        if (target.state != MemberState.DEAD && !isProbed && pending.size < settings.relayLimit) probe(target, step)
+    }
+
     /** Forgets all probes under way, because this process did not run while their time passed. */
     fun forgetProbes(now: Moment) {
         pending.clear()
@@ -120,6 +129,13 @@
         if (step.now < nextProbeAt) return
         val target = nextTarget(step) ?: return
         nextProbeAt = step.now + settings.probeInterval * health.multiplier
+        probe(target, step)
+    }
+
+    private fun probe(
+        target: MemberRecord,
+        step: Step,
+    ) {
         val timeout = settings.probeTimeout * health.multiplier
         val exchange = correspondence.exchange(target.instance, target.place.controlAddress, timeout, ExchangePurpose.PROBE)
         pending[exchange.number] = PendingProbe(target.instance, relayAt = step.now + timeout)
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberRecord.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberRecord.kt
@@ -54,10 +54,10 @@
 
     fun toMember(): Member = place.toMember(instance, incarnation, visibleState).copy(incarnation = incarnation.takeUnless { isOnlyListed })
 
-    /** What this node tells others of the member; null while only the platform's list has named it. */
+    /** What this node tells others of the member, with its place for a new life only; null while only the platform's list has named it. */
     fun toNews(): MemberNews? =
         when (state) {
-            MemberState.LIVE, MemberState.LEAVING -> newsIn(state).copy(place = place)
+            MemberState.LIVE, MemberState.LEAVING -> newsIn(state).copy(place = place.takeIf { incarnation.refutation == 0 })
             MemberState.SUSPECTED -> newsIn(state).copy(suspectedBy = suspicion?.suspectedBy?.lastOrNull())
             MemberState.DEAD -> newsIn(state)
         }.takeUnless { isOnlyListed }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberTable.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MemberTable.kt
@@ -11,11 +11,15 @@
 ) {
     private val records = TreeMap<InstanceName, MemberRecord>()
     private val changes = mutableListOf<MemberChange>()
-    private var cachedHash: Long? = null
 
-    val all: Collection<MemberRecord> get() = records.values
+    /** The combined hash of the records, kept up to date change by change. */
+    private var recordsHash = 0L
+
+    /** The number of members that are not dead, this node included. */
+    var fleetSize: Int = 1
+        private set
 
-    val fleetSize: Int get() = records.values.count { it.state != MemberState.DEAD } + 1
+    val all: Collection<MemberRecord> get() = records.values
 
     operator fun get(instance: InstanceName): MemberRecord? = records[instance]
 
@@ -24,6 +28,7 @@
         reason: MemberChangeReason,
     ) {
         records[record.instance] = record
+        count(record, 1)
         noteChange(record.instance, null, record.visibleState, reason)
     }
 
@@ -32,6 +37,7 @@
         reason: MemberChangeReason,
     ) {
         records.remove(record.instance)
+        count(record, -1)
         noteChange(record.instance, record.visibleState, null, reason)
     }
 
@@ -42,9 +48,10 @@
         change: MemberRecord.() -> Unit,
     ) {
         val before = record.toMember()
+        count(record, -1)
         record.change()
+        count(record, 1)
         if (record.toMember() != before) noteChange(record.instance, before.state, record.visibleState, reason)
-        cachedHash = null
     }
 
     /** Notes a change of this node's own state or incarnation. */
@@ -69,7 +76,7 @@
     fun view(): MembershipView = MembershipView(records.values.map(MemberRecord::toMember) + self.toMember())
 
     /** The hash of the whole list. */
-    fun hash(): Long = cachedHash ?: hashOf(range(null, null)).also { cachedHash = it }
+    fun hash(): Long = recordsHash xor hashOf(self.toNews())
 
     /** Returns what this node tells of the members after [after] up to [through], this node included. */
     fun range(
@@ -94,7 +101,15 @@
         reason: MemberChangeReason,
     ) {
         changes += MemberChange(instance, from, to, reason)
-        cachedHash = null
+    }
+
+    private fun count(
+        record: MemberRecord,
+        change: Int,
+    ) {
+        if (record.state == MemberState.DEAD) return
+        fleetSize += change
+        record.toNews()?.let { recordsHash = recordsHash xor hashOf(it) }
     }
 
     companion object {
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Membership.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Membership.kt
@@ -16,6 +16,7 @@
  * - [MembershipDecision.StartExchange]: fill in [GossipMessage.extra], post the message to the address without waiting in the loop, and
  *   send [MembershipEvent.ExchangeAnswered] or [MembershipEvent.ExchangeFailed] with its number. At most a handful run at a time.
  * - [MembershipEvent.PlatformListed] whenever this node has read the platform's list or got one from another node.
+ * - [MembershipEvent.CallFailed] when a call to another instance was refused or broke off: it finds a death before the next probe.
  * - [MembershipDecision.ViewChanged]: compile a new routing table from the view; write one log line for each change.
  * - [MembershipDecision.RefreshBeforePlacing] until [MembershipDecision.PlacingAllowed]: hold new work back. The first tick starts so.
  * - At a planned stop: [MembershipEvent.LeaveStarted] at once, [MembershipEvent.Stopping] when the last request is done.
@@ -75,6 +76,7 @@
             is MembershipEvent.MessageReceived -> receive(event.message, step)
             is MembershipEvent.ExchangeAnswered -> takeAnswer(event, step)
             is MembershipEvent.ExchangeFailed -> takeFailure(event.number, step)
+            is MembershipEvent.CallFailed -> table[event.instance]?.let { probing.probeNow(it, step) }
             is MembershipEvent.PauseDetected -> resumeAfterPause(now - event.duration, step)
             MembershipEvent.LeaveStarted -> announce(MemberState.LEAVING, step)
             MembershipEvent.Stopping -> announce(MemberState.DEAD, step)
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MembershipEvent.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MembershipEvent.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.kernel.membership
 
+import org.celeryusher.kernel.identity.InstanceName
 import kotlin.time.Duration
 
 /** Something that happened to a node and that [Membership] decides on. */
@@ -28,6 +29,11 @@
         public val number: Long,
     ) : MembershipEvent
 
+    /** A call to [instance] was refused or broke off; the member is probed out of turn, since a failed call alone proves little. */
+    public data class CallFailed(
+        public val instance: InstanceName,
+    ) : MembershipEvent
+
     /** The runtime found that this process stood still for [duration], by other means than a late tick. */
     public data class PauseDetected(
         public val duration: Duration,
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MembershipSettings.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/MembershipSettings.kt
@@ -10,13 +10,13 @@
     /** How often the runtime sends [MembershipEvent.Ticked]. */
     public val tickInterval: Duration = 200.milliseconds,
     /** The time between two direct probes of a healthy node. */
-    public val probeInterval: Duration = 500.milliseconds,
+    public val probeInterval: Duration = 400.milliseconds,
     /** How long a direct probe may take before others are asked to probe. */
-    public val probeTimeout: Duration = 500.milliseconds,
+    public val probeTimeout: Duration = 400.milliseconds,
     /** How long a probe on another node's behalf may take. */
-    public val relayTimeout: Duration = 400.milliseconds,
+    public val relayTimeout: Duration = 300.milliseconds,
     /** How long to wait for the nodes that probe on this node's behalf. */
-    public val relayWait: Duration = 700.milliseconds,
+    public val relayWait: Duration = 500.milliseconds,
     /** How many nodes are asked to probe a member that did not answer. */
     public val relayCount: Int = 3,
     /** How many probes on behalf of others may run at a time. */
@@ -48,8 +48,8 @@
     public val refreshPeers: Int = 2,
     /** How long new work waits for them at most. */
     public val refreshWait: Duration = 2.seconds,
-    /** How many changes one message carries besides a page. */
-    public val newsPerMessage: Int = 6,
+    /** The room for changes in one message besides a page, in bytes of JSON. */
+    public val newsBytes: Int = 600,
     /** A change is sent this many times the rounded-up decimal logarithm of the fleet's size. */
     public val retransmitFactor: Int = 4,
 )
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/NewsQueue.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/NewsQueue.kt
@@ -17,29 +17,54 @@
 
     val isEmpty: Boolean get() = transmissions.isEmpty()
 
-    fun add(instance: InstanceName) {
+    /** Adds the change of the member on [instance], as the first to be sent when it [isUrgent]. */
+    fun add(
+        instance: InstanceName,
+        isUrgent: Boolean = false,
+    ) {
         transmissions.remove(instance)
-        transmissions[instance] = 0
+        transmissions[instance] = if (isUrgent) URGENT_START else 0
     }
 
     fun remove(instance: InstanceName) {
         transmissions.remove(instance)
     }
 
-    /** Returns up to [MembershipSettings.newsPerMessage] members to tell of, and counts one transmission of each. */
-    fun take(fleetSize: Int): List<InstanceName> {
+    /**
+     * Returns news of the members in the queue that fits into [MembershipSettings.newsBytes], and counts one transmission of each.
+     *
+     * Members of which [newsOf] has nothing to tell leave the queue.
+     */
+    fun take(
+        fleetSize: Int,
+        newsOf: (InstanceName) -> MemberNews?,
+    ): List<MemberNews> {
+        if (isEmpty) return emptyList()
         val limit = transmissionLimit(fleetSize)
-        val chosen =
-            transmissions.entries
-                .sortedBy { it.value }
-                .take(settings.newsPerMessage)
-                .map { it.key }
-        for (instance in chosen) {
-            val count = transmissions.getValue(instance) + 1
-            if (count >= limit) transmissions.remove(instance) else transmissions[instance] = count
+        val chosen = mutableListOf<MemberNews>()
+        var room = settings.newsBytes
+        for (instance in transmissions.keys.sortedBy(transmissions::getValue)) {
+            val news = newsOf(instance)
+            if (news == null) transmissions.remove(instance) else room -= news.estimatedBytes
+            if (room < 0) break
+            if (news != null) chosen += news
         }
+        chosen.forEach { countTransmission(it.instance, limit) }
         return chosen
     }
 
+    private fun countTransmission(
+        instance: InstanceName,
+        limit: Int,
+    ) {
+        val count = transmissions.getValue(instance) + 1
+        if (count >= limit) transmissions.remove(instance) else transmissions[instance] = count
+    }
+
     private fun transmissionLimit(fleetSize: Int): Int = settings.retransmitFactor * ceil(log10(fleetSize + 1.0)).toInt()
+
+    private companion object {
+        /** Below 0, so that an urgent change is sent a few times before all others. */
+        const val URGENT_START = -4
+    }
 }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
@@ -58,9 +58,11 @@
             return RoutingTable(snapshot.digest, resolved, held)
         }
 
+        /** Returns the live providers, and after them the suspected ones as a floor when fewer than half of the two together are live. */
         private fun endpointsOf(providers: List<Member>): NonEmptyList<Member>? {
             val live = providers.filter { it.state == MemberState.LIVE }
-            val usable = live.ifEmpty { providers.filter { it.state == MemberState.SUSPECTED } }
+            val suspected = providers.filter { it.state == MemberState.SUSPECTED }
+            val usable = if (live.size >= suspected.size) live else live + suspected
             return usable.toNonEmptyListOrNull()
         }
 
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/membership/VirtualFleet.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/membership/VirtualFleet.kt
@@ -43,16 +43,26 @@
 
         fun handle(event: MembershipEvent): List<MembershipDecision> {
             val made = machine.handle(event, now, random)
-            made.filterNot { it is MembershipDecision.StartExchange || it is MembershipDecision.Reply }.let(decisions::addAll)
-            made.filterIsInstance<MembershipDecision.StartExchange>().forEach { send(this, it) }
+            made.forEach(::carryOut)
             return made
         }
+
+        private fun carryOut(decision: MembershipDecision) {
+            when (decision) {
+                is MembershipDecision.StartExchange -> send(this, decision)
+                is MembershipDecision.Reply -> Unit
+                is MembershipDecision.ViewChanged -> decisions += decision.copy(view = MembershipView.EMPTY)
+                else -> decisions += decision
+            }
+        }
     }
 
     val random = Random(seed)
     var now = Moment(0)
     var faults = NetworkFaults()
-    var exchanges = 0
+
+    /** Called with each message that is sent. */
+    var observe: (GossipMessage) -> Unit = {}
     private var order = 0L
     private var lives = 1L
     private val queue = PriorityQueue(compareBy(Scheduled::at, Scheduled::order))
@@ -74,6 +84,22 @@
             Address("10.0.0.$index", CONTROL_PORT + 2),
         )
 
+    fun listed(
+        index: Int,
+        state: PlatformInstanceState,
+    ): PlatformInstance {
+        val place = member(index).place
+        return PlatformInstance(
+            name(index),
+            place.service,
+            place.dataCentre,
+            place.controlAddress,
+            place.frameAddress,
+            place.serverAddress,
+            state,
+        )
+    }
+
     /** Runs until [duration] has passed, or [until] holds, which is asked every tick interval. */
     fun run(
         duration: Duration,
@@ -113,6 +139,23 @@
 
     fun running() = nodes.filter { it.isRunning }
 
+    /** Returns whether [observer] holds exactly the running nodes live, in their present lives. */
+    fun isRightAt(observer: Int): Boolean =
+        nodes.all {
+            val seen = nodes[observer].machine.view[name(it.index)]
+            val isLive = seen?.state == MemberState.LIVE
+            if (it.isRunning) isLive && seen.incarnation == it.machine.incarnation else !isLive
+        }
+
+    /** Makes the platform's list with the given states reach every running node; an instance with a null state is not listed. */
+    fun list(
+        revision: Long,
+        stateOf: (index: Int) -> PlatformInstanceState?,
+    ) {
+        val instances = nodes.mapNotNull { node -> stateOf(node.index)?.let { listed(node.index, it) } }
+        running().forEach { it.handle(MembershipEvent.PlatformListed(PlatformInstanceList(revision, instances))) }
+    }
+
     private fun newMachine(index: Int): Membership {
         val self = member(index).copy(incarnation = Incarnation(lives++))
         return Membership(self, if (hasSeeds) SEEDS.filter { it != index }.map { member(it).controlAddress } else emptyList(), settings)
@@ -136,7 +179,7 @@
         origin: Node,
         exchange: MembershipDecision.StartExchange,
     ) {
-        exchanges++
+        observe(exchange.message)
         val machine = origin.machine
         val target =
             nodes[
@@ -150,7 +193,9 @@
         schedule(exchange.timeout) { whenAwake(origin) { report(MembershipEvent.ExchangeFailed(exchange.number)) } }
         transmit(origin, target) {
             val replies = target.handle(MembershipEvent.MessageReceived(exchange.message)).filterIsInstance<MembershipDecision.Reply>()
-            transmit(target, origin) { report(MembershipEvent.ExchangeAnswered(exchange.number, replies.single().message)) }
+            val reply = replies.single().message
+            observe(reply)
+            transmit(target, origin) { report(MembershipEvent.ExchangeAnswered(exchange.number, reply)) }
         }
     }
 
