--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -1,14 +1,15 @@
 package org.celeryusher.node.runtime
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.HttpStatusCode
-import io.ktor.server.response.respondText
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.node.admin.AdminPages
+import org.celeryusher.node.admin.StatusReporter
+import org.celeryusher.node.admin.statusProviders
 import org.celeryusher.node.call.BackendServerClient
 import org.celeryusher.node.call.CallProxy
 import org.celeryusher.node.call.CallerEndpoint
@@ -16,6 +17,8 @@
 import org.celeryusher.node.call.FrameServer
 import org.celeryusher.node.call.Guard
 import org.celeryusher.node.control.ControlPlane
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 
@@ -32,6 +35,10 @@
     /** What this node routes by. */
     public val routing: RoutingState = RoutingState(FleetPlace(settings.dataCentre, settings.service, settings.instance))
 
+    /** The metrics of this node. */
+    public val metrics: NodeMetrics = NodeMetrics(routing)
+
+    private val decisions = DecisionLog(settings.instance)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val limits = settings.limits
@@ -45,17 +52,23 @@
 
     /** Keeps configuration and membership up to date. */
     public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random)
+
+    private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
+    private val statusProviders = statusProviders { control { now -> control.status(now) } }
+    private val reporter = StatusReporter(place, { incarnation }, clock.now(), routing, metrics, decisions, statusProviders)
+    private val admin = AdminPages(place, reporter, metrics, clock)
     private val http =
         NodeHttpServer(
             listOf(
                 HttpAddress(settings.addresses.callers, callers::answer),
                 HttpAddress(settings.addresses.control, control::answer),
-                HttpAddress(settings.addresses.admin) { it.respondText("ready", status = HttpStatusCode.OK) },
+                HttpAddress(settings.addresses.admin, admin::answer),
             ),
         )
 
     /** Listens at all addresses and begins to take part in the fleet. */
     public suspend fun start() {
+        metrics.observeControl { control.status() }
         frameServer.start(scope)
         http.start()
         control.start(scope)
