--- a/kernel/src/main/kotlin/org/celeryusher/kernel/execution/AttemptRegistry.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/AttemptRegistry.kt
@@ -57,7 +57,7 @@
             known != null -> AttemptArrival.Duplicate(known.state)
             now >= attempt.expiresAt -> AttemptArrival.Refused(absentAfterExpiry(attempt, now))
             idempotent && hasNoRoomForIdempotent -> AttemptArrival.Accepted
-            isFenced(attempt) -> AttemptArrival.Refused(Outcome.NotRun(ErrorKind.OVERLOADED))
+            !idempotent && isFenced(attempt) -> AttemptArrival.Refused(Outcome.NotRun(ErrorKind.OVERLOADED))
             isFull -> AttemptArrival.Refused(refuseAllUpTo(attempt))
             else -> AttemptArrival.Accepted.also { remember(attempt, idempotent, AttemptState.Queued) }
         }
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/execution/AttemptRegistryTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/execution/AttemptRegistryTest.kt
@@ -110,6 +110,17 @@
         assertEquals(AttemptArrival.Accepted, registry.arrive(reference(5, expiresAt = 201), at = 70))
     }
 
+    @Test
+    fun idempotentWorkIsAcceptedAgainOnceAFullMemoryHasRoom() {
+        val registry = registry(entries = 1)
+        registry.arrive(attempt)
+        registry.refuse(attempt, ErrorKind.OVERLOADED, Uptime(0))
+        val refused = reference(2, expiresAt = 900)
+        assertEquals(AttemptArrival.Refused(Outcome.NotRun(ErrorKind.OVERLOADED)), registry.arrive(refused))
+        assertEquals(AttemptArrival.Refused(Outcome.NotRun(ErrorKind.OVERLOADED)), registry.arrive(refused, at = 200))
+        assertEquals(AttemptArrival.Accepted, registry.arrive(reference(3, expiresAt = 900), idempotent = true, Uptime(200)))
+    }
+
     private companion object {
         private const val LIFE = 7L
     }
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -204,7 +204,6 @@
         val owner = routing.current.view[ticket.owner] ?: return CallResult.Failed(ErrorKind.TICKET_OWNER_GONE, ticket.owner.value)
         val attempt = AttemptId.random(random)
         decisions.decision(
-            clock.now(),
             "routing",
             owner.instance.value,
             "owner of the ticket",
@@ -279,7 +278,6 @@
         entry: EntryDecision.Refuse,
     ): ProxyAnswer {
         decisions.decision(
-            clock.now(),
             "entry",
             "refused",
             "guards refuse this rank",
@@ -296,7 +294,6 @@
         attempts: Int,
     ) {
         decisions.decision(
-            clock.now(),
             "routing",
             choice.endpoint.instance.value,
             choice.reason.name,
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashRegister.kt
@@ -37,7 +37,7 @@
         now: Moment,
     ): List<QuarantineNews> {
         val news = suspects.crashed(running, knownToBeAll = true, quarantine, now)
-        decisions.decision(now, "crash", "suspects run alone", "the backend server stopped", "requests" to running.size, "news" to news)
+        decisions.decision("crash", "suspects run alone", "the backend server stopped", "requests" to running.size, "news" to news)
         return news
     }
 
@@ -60,7 +60,7 @@
         news: QuarantineNews,
         now: Moment,
     ) {
-        if (suspects.merge(news, now)) decisions.decision(now, "quarantine", "taken over", "news from another node", "news" to news)
+        if (suspects.merge(news, now)) decisions.decision("quarantine", "taken over", "news from another node", "news" to news)
     }
 
     /** Returns the fingerprints that are refused at [now]. */
--- a/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
@@ -56,15 +56,15 @@
             output.error.println("celeryusher node: cannot listen at ${addressesOf(node)}: ${error.message}")
             return ExitStatus.WRONG
         }
-        val stopped = CountDownLatch(1)
         Runtime.getRuntime().addShutdownHook(
             Thread {
                 runBlocking { node.stop() }
-                stopped.countDown()
+                // The JVM would report the signal as a failure; a graceful shutdown is none.
+                Runtime.getRuntime().halt(ExitStatus.OK.code)
             },
         )
         output.error.println("celeryusher node: ${node.settings.instance} takes calls at ${node.settings.addresses.callers}")
-        stopped.await()
+        CountDownLatch(1).await()
         return ExitStatus.OK
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -40,7 +40,7 @@
     /** The metrics of this node. */
     public val metrics: NodeMetrics = NodeMetrics(routing)
 
-    private val decisions = DecisionLog(settings.instance)
+    private val decisions = DecisionLog(settings.instance, clock)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, metrics, decisions, ::awaitFreshView)
@@ -48,7 +48,8 @@
     private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
 
     /** Keeps configuration and membership up to date. */
-    public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes)
+    public val control: ControlPlane =
+        ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes, decisions)
 
     @Volatile
     private var isStopping = false
