Measure convergence and latency with real nodes on loopback

Cause: the figures that the users ask for must come from a named command, against a plain baseline in the same run.

A Ktor CIO engine blocks one thread of Dispatchers.IO a connector, so 40 nodes stood still at the default 64 threads; demo and measure raise the limit first. Ports are taken from below the range of outgoing connections, as a run of 40 nodes met 'Address already in use'.

--- a/standin/src/main/kotlin/org/celeryusher/standin/demo/DemoCommand.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/demo/DemoCommand.kt
@@ -9,6 +9,7 @@
 import org.celeryusher.node.command.ExitStatus
 import org.celeryusher.node.command.withOptions
 import org.celeryusher.standin.fleet.DeploymentShape
+import org.celeryusher.standin.fleet.prepareForManyNodes
 import org.celeryusher.standin.report.quietLogs
 import org.kohsuke.args4j.Option
 import kotlin.time.Duration.Companion.seconds
@@ -55,6 +56,7 @@
         options: Options,
         output: CommandOutput,
     ): ExitStatus {
+        prepareForManyNodes()
         if (!options.log) quietLogs()
         val run = DemoRun(shape, options.seconds.seconds) { output.error.println(it) }
         val report = runBlocking(Dispatchers.Default) { run.run() }
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/measure/ConvergenceMeasurement.kt
@@ -0,0 +1,222 @@
+package org.celeryusher.standin.measure
+
+import com.sun.management.OperatingSystemMXBean
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import org.HdrHistogram.Histogram
+import org.celeryusher.kernel.configuration.ConfigurationDocument
+import org.celeryusher.node.settings.ControlSettings
+import org.celeryusher.standin.demo.ControlBytes
+import org.celeryusher.standin.fleet.DeploymentShape
+import org.celeryusher.standin.fleet.FleetInstance
+import org.celeryusher.standin.fleet.LocalFleet
+import org.celeryusher.standin.load.Caller
+import org.celeryusher.standin.report.TextTable
+import java.lang.management.ManagementFactory
+import java.util.Locale
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** How one fleet took a number of changes. */
+@Serializable
+public data class ConvergenceRow(
+    public val way: String,
+    public val nodes: Int,
+    public val changes: Int,
+    /** Changes that were not in force on every node within the limit. */
+    public val missed: Int,
+    /** From the publication until one node has the version in force, over all nodes and changes. */
+    public val nodeP50Milliseconds: Double,
+    public val nodeP99Milliseconds: Double,
+    /** From the publication until the last node has it in force: the worst change. */
+    public val allMilliseconds: Double,
+    /** Platform calls a second while nothing changes, of the whole fleet. */
+    public val idlePlatformCallsPerSecond: Double,
+    public val idlePlatformCallsMaximumPerSecond: Long,
+    /** Processor time of the whole process a second while nothing changes, divided by the nodes. */
+    public val idleProcessorMillisecondsPerNodeAndSecond: Double,
+    /** Control bytes a node and second over the whole row, as the nodes' metrics tell; null when they tell nothing. */
+    public val controlBytesPerNodeAndSecond: Double?,
+)
+
+/** What `measure convergence` found. */
+@Serializable
+public data class ConvergenceReport(
+    public val deployment: String,
+    public val rows: List<ConvergenceRow>,
+) : MeasurementReport {
+    override fun table(): String {
+        val table =
+            TextTable(
+                listOf(
+                    "way",
+                    "nodes",
+                    "changes",
+                    "missed",
+                    "node p50 ms",
+                    "node p99 ms",
+                    "all ms",
+                    "idle calls/s",
+                    "idle cpu ms/node/s",
+                    "bytes/node/s",
+                ),
+            )
+        for (row in rows) {
+            table.row(
+                row.way,
+                row.nodes,
+                row.changes,
+                row.missed,
+                decimal(row.nodeP50Milliseconds),
+                decimal(row.nodeP99Milliseconds),
+                decimal(row.allMilliseconds),
+                decimal(row.idlePlatformCallsPerSecond),
+                decimal(row.idleProcessorMillisecondsPerNodeAndSecond),
+                row.controlBytesPerNodeAndSecond?.let(::decimal),
+            )
+        }
+        return "$deployment, configuration changes\n$table"
+    }
+
+    private fun decimal(number: Double): String = String.format(Locale.ROOT, "%.2f", number)
+}
+
+/** Measures how fast changes come in force on fleets of several sizes, and what the platform and the nodes pay for it. */
+internal class ConvergenceMeasurement(
+    private val shape: DeploymentShape,
+    private val sizes: List<Int>,
+    private val changes: Int,
+    private val tell: (String) -> Unit,
+) {
+    suspend fun run(): ConvergenceReport =
+        ConvergenceReport(
+            shape.name,
+            sizes.flatMap { size ->
+                listOf(
+                    measure(PLAIN, size, ControlSettings(readsPlatformAlone = true)),
+                    measure(PRODUCT, size, ControlSettings()),
+                )
+            },
+        )
+
+    private suspend fun measure(
+        way: String,
+        size: Int,
+        control: ControlSettings,
+    ): ConvergenceRow {
+        tell("$size nodes, $way")
+        val fleet = LocalFleet(shape.scaledTo(size), control)
+        check(fleet.start(START_LIMIT)) { "not all of $size nodes came up with a configuration in force" }
+        val start = TimeSource.Monotonic.markNow()
+        val idle = idleCost(fleet)
+        val histogram = Histogram(HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+        var slowest = 0.0
+        var missed = 0
+        repeat(changes) { change ->
+            val times = publishAndTime(fleet, edited(fleet.shape.document, FIRST_CHANGE + change))
+            times.filterNotNull().forEach { histogram.recordValue(it) }
+            if (null in times) missed++
+            slowest = maxOf(slowest, times.maxOf { it ?: CONVERGENCE_LIMIT.inWholeMicroseconds } / MICROSECONDS_PER_MILLISECOND)
+            delay(PAUSE_BETWEEN_CHANGES)
+        }
+        val elapsed = start.elapsedNow().inWholeMilliseconds / MILLISECONDS_PER_SECOND
+        val bytes = Caller().use { ControlBytes(it).total(fleet.inUse) }
+        fleet.stop()
+        return ConvergenceRow(
+            way = way,
+            nodes = size,
+            changes = changes,
+            missed = missed,
+            nodeP50Milliseconds = histogram.getValueAtPercentile(50.0) / MICROSECONDS_PER_MILLISECOND,
+            nodeP99Milliseconds = histogram.getValueAtPercentile(99.0) / MICROSECONDS_PER_MILLISECOND,
+            allMilliseconds = slowest,
+            idlePlatformCallsPerSecond = idle.platformCallsPerSecond,
+            idlePlatformCallsMaximumPerSecond = idle.platformCallsMaximum,
+            idleProcessorMillisecondsPerNodeAndSecond = idle.processorMillisecondsPerNode,
+            controlBytesPerNodeAndSecond = bytes?.let { it / size / elapsed },
+        )
+    }
+
+    /** Publishes [document] and returns, for each node, the microseconds until it was in force, or null when the limit passed first. */
+    private suspend fun publishAndTime(
+        fleet: LocalFleet,
+        document: ConfigurationDocument,
+    ): List<Long?> =
+        coroutineScope {
+            val start = TimeSource.Monotonic.markNow()
+            fleet.platform.publish(document)
+            fleet.inUse
+                .chunked(NODES_PER_WATCHER)
+                .map { nodes -> async { timesOf(nodes, document.version, start) } }
+                .awaitAll()
+                .flatten()
+        }
+
+    private suspend fun timesOf(
+        nodes: List<FleetInstance>,
+        version: Long,
+        start: TimeSource.Monotonic.ValueTimeMark,
+    ): List<Long?> {
+        val times = arrayOfNulls<Long>(nodes.size)
+        while (times.any { it == null } && start.elapsedNow() < CONVERGENCE_LIMIT) {
+            for ((index, node) in nodes.withIndex()) {
+                if (times[index] == null && node.version == version) times[index] = start.elapsedNow().inWholeMicroseconds
+            }
+            delay(LOOK_INTERVAL)
+        }
+        return times.toList()
+    }
+
+    private suspend fun idleCost(fleet: LocalFleet): IdleCost {
+        delay(SETTLING)
+        val calls = fleet.platform.counts.total
+        val processor = processorNanoseconds()
+        val start = TimeSource.Monotonic.markNow()
+        delay(IDLE)
+        val seconds = start.elapsedNow().inWholeMilliseconds / MILLISECONDS_PER_SECOND
+        val processorMilliseconds = (processorNanoseconds() - processor) / NANOSECONDS_PER_MILLISECOND
+        return IdleCost(
+            platformCallsPerSecond = (fleet.platform.counts.total - calls) / seconds,
+            platformCallsMaximum = fleet.platform.counts.maximumPerSecond,
+            processorMillisecondsPerNode = processorMilliseconds / seconds / fleet.instances.size,
+        )
+    }
+
+    private fun edited(
+        document: ConfigurationDocument,
+        version: Long,
+    ): ConfigurationDocument =
+        document.copy(version = version, defaults = document.defaults.copy(quarantineMilliseconds = 600_000 + version))
+
+    private fun processorNanoseconds(): Long =
+        (ManagementFactory.getOperatingSystemMXBean() as? OperatingSystemMXBean)?.processCpuTime
+            ?: error("this JVM tells no processor time")
+
+    private class IdleCost(
+        val platformCallsPerSecond: Double,
+        val platformCallsMaximum: Long,
+        val processorMillisecondsPerNode: Double,
+    )
+
+    private companion object {
+        const val PLAIN = "each node watches the platform (baseline)"
+        const val PRODUCT = "celeryusher"
+        const val FIRST_CHANGE = 2L
+        const val NODES_PER_WATCHER = 50
+        const val HIGHEST_MICROSECONDS = 120_000_000L
+        const val SIGNIFICANT_DIGITS = 3
+        const val MICROSECONDS_PER_MILLISECOND = 1_000.0
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000.0
+        val START_LIMIT = 60.seconds
+        val CONVERGENCE_LIMIT = 20.seconds
+        val LOOK_INTERVAL = 2.milliseconds
+        val PAUSE_BETWEEN_CHANGES = 1_500.milliseconds
+        val SETTLING = 2.seconds
+        val IDLE = 4.seconds
+    }
+}
--- a/standin/src/test/kotlin/org/celeryusher/standin/command/CommandsTest.kt
+++ b/standin/src/test/kotlin/org/celeryusher/standin/command/CommandsTest.kt
@@ -31,6 +31,11 @@
                 Case("standin server --help", ExitStatus.OK, "--crash-marker"),
                 Case("demo --deployment gent", ExitStatus.USAGE, "\"gent\""),
                 Case("demo --seconds 1", ExitStatus.USAGE, "--seconds 1"),
+                Case("measure", ExitStatus.USAGE, "\"\" is not one of"),
+                Case("measure speed", ExitStatus.USAGE, "\"speed\" is not one of"),
+                Case("measure latency --deployment gent", ExitStatus.USAGE, "\"gent\""),
+                Case("measure convergence --nodes 13,x", ExitStatus.USAGE, "\"13,x\""),
+                Case("measure latency --help", ExitStatus.OK, "--calls"),
                 Case("demo --help", ExitStatus.OK, "--deployment"),
             )
         val commands = CommandLine(ServiceLoader.load(Command::class.java).toList())
--- /dev/null
+++ b/standin/src/test/kotlin/org/celeryusher/standin/fleet/FreePortsTest.kt
@@ -0,0 +1,19 @@
+package org.celeryusher.standin.fleet
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class FreePortsTest {
+    @Test
+    fun givesDifferentPortsThatNobodyListensOn() {
+        val ports = FreePorts.take(20, Random(5))
+        assertEquals(20, ports.toSet().size)
+        ServerSocket(ports.first(), 1, InetAddress.getLoopbackAddress()).use {
+            assertFalse(ports.first() in FreePorts.take(20, Random(5)))
+        }
+    }
+}
