Give the routing at most ten views a second and keep control decisions for status

Cause: each change of one member compiled the routing table anew; while a large fleet starts that is hundreds of times a node, and a thread dump of 200 nodes in one process stood in it. Control decisions were logged and not kept. Change: a view that comes within 100 ms of the one before waits for the next tick. The control work uses the node's own decision log. A test for a node that reads the platform alone. Conclusion: the view that routes are compiled from may be 200 ms behind the membership's own.

--- a/node/src/main/kotlin/org/celeryusher/node/control/ConfigurationKeeper.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ConfigurationKeeper.kt
@@ -33,6 +33,7 @@
     private val tuning: ControlTuning,
     startedAt: Moment,
     private val random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val floor = VersionFloor(startedAt, own.dataCentre, tuning.floor)
     private val holder = VersionHolder(floor)
@@ -59,7 +60,7 @@
         claimed: ConfigurationDigest?,
         view: MembershipView,
         now: Moment,
-    ): Offered = conclude(holder.offer(bytes, source, now, claimed), source, view)
+    ): Offered = conclude(holder.offer(bytes, source, now, claimed), source, view, now)
 
     /** Takes in [snapshot], which came from [source] as a difference. */
     fun offer(
@@ -67,7 +68,7 @@
         source: ConfigurationSource,
         view: MembershipView,
         now: Moment,
-    ): Offered = conclude(holder.offer(snapshot, source, now), source, view)
+    ): Offered = conclude(holder.offer(snapshot, source, now), source, view, now)
 
     /** Takes in that [peer] has [announced] in force. */
     fun announced(
@@ -77,15 +78,15 @@
         now: Moment,
     ): List<ControlAction> {
         val released = if (held == null) holder.reportFloor(FloorReport(peer.instance, peer.dataCentre, announced.version), now) else null
-        val actions = released?.let { conclude(it, it.held.source, view).actions }.orEmpty()
-        return actions + carryOut(planner.onAnnouncement(peer.instance, announced, holder, now), view, peer)
+        val actions = released?.let { conclude(it, it.held.source, view, now).actions }.orEmpty()
+        return actions + carryOut(planner.onAnnouncement(peer.instance, announced, holder, now), view, peer, now)
     }
 
     /** Puts a waiting configuration in force when the wait for the floor is over. */
     fun tick(
         view: MembershipView,
         now: Moment,
-    ): List<ControlAction> = holder.onTime(now)?.let { conclude(it, it.held.source, view).actions }.orEmpty()
+    ): List<ControlAction> = holder.onTime(now)?.let { conclude(it, it.held.source, view, now).actions }.orEmpty()
 
     /** Takes in that the pull from [peer] ended; it is not asked again for [avoidFor]. */
     fun pullEnded(
@@ -93,7 +94,7 @@
         avoidFor: Duration,
         view: MembershipView,
         now: Moment,
-    ): List<ControlAction> = carryOut(planner.pullEnded(peer, avoidFor, holder, now), view, null)
+    ): List<ControlAction> = carryOut(planner.pullEnded(peer, avoidFor, holder, now), view, null, now)
 
     /** Returns what to send to [peer]; report the end by [transferEnded]. */
     fun transferFor(
@@ -108,8 +109,9 @@
         decision: OfferDecision,
         source: ConfigurationSource,
         view: MembershipView,
+        now: Moment,
     ): Offered {
-        log(decision, source)
+        log(decision, source, now)
         val actions = if (decision is OfferDecision.InForce) putInForce(decision, view) else emptyList()
         return Offered(decision, actions)
     }
@@ -131,12 +133,13 @@
         decision: SpreadDecision,
         view: MembershipView,
         announcer: KnownPeer?,
+        now: Moment,
     ): List<ControlAction> =
         when (decision) {
             SpreadDecision.Nothing -> emptyList()
             is SpreadDecision.Pull -> listOf(pull(decision.peer, view, announcer))
             is SpreadDecision.Conflict -> {
-                noteConflict(decision)
+                noteConflict(decision, now)
                 emptyList()
             }
         }
@@ -154,10 +157,14 @@
         }
     }
 
-    private fun noteConflict(conflict: SpreadDecision.Conflict) {
+    private fun noteConflict(
+        conflict: SpreadDecision.Conflict,
+        now: Moment,
+    ) {
         if (announcedConflicts.put(conflict.peer, conflict.announced) == conflict.announced) return
         if (announcedConflicts.size > REMEMBERED_CONFLICTS) announcedConflicts.remove(announcedConflicts.keys.first())
-        DecisionLog.decision(
+        decisions.decision(
+            now,
             SUBJECT,
             "kept ${conflict.held.version}",
             "a peer has other content under the same version",
@@ -170,11 +177,13 @@
     private fun log(
         decision: OfferDecision,
         source: ConfigurationSource,
+        now: Moment,
     ) {
         when (decision) {
             is OfferDecision.InForce -> {
                 val reason = if (decision.belowFloor == null) "newer than the one before" else "the wait for a higher version is over"
-                DecisionLog.decision(
+                decisions.decision(
+                    now,
                     SUBJECT,
                     "in force ${decision.held.snapshot.digest.version}",
                     reason,
@@ -185,7 +194,8 @@
             }
             is OfferDecision.AlreadyHeld -> Unit
             is OfferDecision.Older ->
-                DecisionLog.decision(
+                decisions.decision(
+                    now,
                     SUBJECT,
                     "kept ${decision.held.version}",
                     "older",
@@ -193,7 +203,8 @@
                     "offered" to decision.offered.version,
                 )
             is OfferDecision.ConflictingContent ->
-                DecisionLog.decision(
+                decisions.decision(
+                    now,
                     SUBJECT,
                     "refused ${decision.offered.version}",
                     "same version as the held one, other content",
@@ -201,10 +212,11 @@
                 )
             is OfferDecision.Refused ->
                 if (!decision.repeated) {
-                    DecisionLog.decision(SUBJECT, "refused", decision.faults.joinToString("; "), "source" to source)
+                    decisions.decision(now, SUBJECT, "refused", decision.faults.joinToString("; "), "source" to source)
                 }
             is OfferDecision.HeldBelowFloor ->
-                DecisionLog.decision(
+                decisions.decision(
+                    now,
                     SUBJECT,
                     "waits ${decision.offered.version}",
                     "the version that peers hold is not known yet, or is higher",
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import org.celeryusher.node.settings.NodeSettings
@@ -37,6 +38,7 @@
     random: Random,
     extras: GossipExtras,
     private val tuning: ControlTuning,
+    decisions: DecisionLog = DecisionLog(settings.instance),
 ) {
     /** Creates the control plane of the node that [settings] describe, in its life [incarnation]. */
     public constructor(
@@ -47,7 +49,8 @@
         clock: ProcessClock,
         random: Random,
         extras: GossipExtras = GossipExtras.None,
-    ) : this(settings, incarnation, routing, httpClient, clock, random, extras, ControlTuning.of(settings.control))
+        decisions: DecisionLog = DecisionLog(settings.instance),
+    ) : this(settings, incarnation, routing, httpClient, clock, random, extras, ControlTuning.of(settings.control), decisions)
 
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
@@ -56,7 +59,7 @@
     private val signature = settings.fleetSecret?.let { FleetSignature(it) }
     private val platform = PlatformClient(httpClient, settings.platform, maximumBytes)
     private val transport = ControlTransport(httpClient, signature, traffic, maximumBytes)
-    private val state = ControlState(settings, incarnation, routing, clock, random, tuning)
+    private val state = ControlState(settings, incarnation, routing, clock, random, tuning, decisions)
     private val exchanges = ControlExchanges(scope, state, routing, transport, extras, settings.instance.value)
     private val endpoint = ControlEndpoint(state, exchanges, extras, signature, traffic, maximumBytes)
     private val isAlone = settings.control.readsPlatformAlone
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlState.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlState.kt
@@ -17,6 +17,7 @@
 import org.celeryusher.kernel.membership.MembershipEvent
 import org.celeryusher.kernel.membership.PlatformInstanceList
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import org.celeryusher.node.settings.NodeSettings
@@ -37,11 +38,12 @@
     private val clock: ProcessClock,
     private val random: Random,
     private val tuning: ControlTuning,
+    decisions: DecisionLog,
 ) {
     private val startedAt = clock.now()
     private val own = ownMember(settings, incarnation)
-    private val members = MemberKeeper(own, settings.seeds, tuning.membership, routing, startedAt, random)
-    private val configuration = ConfigurationKeeper(own, routing, tuning, startedAt, random)
+    private val members = MemberKeeper(own, settings.seeds, tuning.membership, routing, startedAt, random, decisions)
+    private val configuration = ConfigurationKeeper(own, routing, tuning, startedAt, random, decisions)
     private val instances = InstanceListHolder(INSTANCES_PULL_INTERVAL)
     private val configurationNews = SourceNews()
     private val instanceNews = SourceNews()
@@ -65,6 +67,7 @@
     fun tick(): List<ControlAction> {
         val now = clock.now()
         val actions = members.handle(MembershipEvent.Ticked, now) + members.leaveWhenListed(now)
+        members.publishPending(now)
         isRefreshing = members.isRefreshing
         lastTick = now
         return actions + configuration.tick(members.view, now) + inquiries()
--- a/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
@@ -4,7 +4,6 @@
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.membership.GossipMessage
 import org.celeryusher.kernel.membership.Member
-import org.celeryusher.kernel.membership.MemberChange
 import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.membership.Membership
 import org.celeryusher.kernel.membership.MembershipDecision
@@ -18,6 +17,7 @@
 import org.celeryusher.node.runtime.RoutingState
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -32,9 +32,12 @@
     private val routing: RoutingState,
     private val startedAt: Moment,
     private val random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val membership = Membership(own, seeds, settings)
     private var wasListedAsStaying = false
+    private var isViewPending = false
+    private var publishedAt = Moment.DISTANT_PAST
 
     val view: MembershipView get() = membership.view
     val incarnation: Incarnation get() = membership.incarnation
@@ -46,6 +49,14 @@
         routing.takeView(membership.view)
     }
 
+    /** Hands the latest view to the routing when that was put off; to be called with each tick. */
+    fun publishPending(now: Moment) {
+        if (!isViewPending) return
+        isViewPending = false
+        publishedAt = now
+        routing.takeView(membership.view)
+    }
+
     fun suspicions(): List<SuspicionReport> = membership.suspicions()
 
     /** Takes in [event]; returns what to send. */
@@ -69,7 +80,7 @@
         now: Moment,
     ): List<ControlAction> {
         if (isLeaving) return emptyList()
-        DecisionLog.decision("membership", "leave", reason, "instance" to own.instance)
+        log("leave", reason, now)
         return handle(MembershipEvent.LeaveStarted, now)
     }
 
@@ -104,33 +115,34 @@
             when (decision) {
                 is MembershipDecision.StartExchange -> actions += ControlAction.Exchange(decision)
                 is MembershipDecision.Reply -> reply = decision.message
-                is MembershipDecision.ViewChanged -> takeView(decision)
-                is MembershipDecision.RefreshBeforePlacing -> log("hold new work", decision.cause.name)
-                is MembershipDecision.PlacingAllowed -> log("place new work", if (decision.refreshed) "refreshed" else "waited long enough")
-                is MembershipDecision.IncarnationRaised -> log("raise incarnation to ${decision.incarnation}", "was ${decision.cause}")
+                is MembershipDecision.ViewChanged -> takeView(decision, now)
+                is MembershipDecision.RefreshBeforePlacing -> log("hold new work", decision.cause.name, now)
+                is MembershipDecision.PlacingAllowed ->
+                    log("place new work", if (decision.refreshed) "refreshed" else "waited long enough", now)
+                is MembershipDecision.IncarnationRaised -> log("raise incarnation to ${decision.incarnation}", "was ${decision.cause}", now)
             }
         }
         return Handled(reply, actions)
     }
 
-    private fun takeView(decision: MembershipDecision.ViewChanged) {
-        routing.takeView(decision.view)
-        decision.changes.forEach(::log)
+    /** Hands the view to the routing, unless that was done just now: then [publishPending] does. */
+    private fun takeView(
+        decision: MembershipDecision.ViewChanged,
+        now: Moment,
+    ) {
+        isViewPending = true
+        if (now - publishedAt >= VIEW_INTERVAL) publishPending(now)
+        for (change in decision.changes) {
+            val decided = change.to?.name ?: "FORGOTTEN"
+            decisions.decision(now, SUBJECT, decided, change.reason.name, "instance" to change.instance, "from" to change.from)
+        }
     }
 
-    private fun log(change: MemberChange): Unit =
-        DecisionLog.decision(
-            "membership",
-            change.to?.name ?: "FORGOTTEN",
-            change.reason.name,
-            "instance" to change.instance,
-            "from" to change.from,
-        )
-
     private fun log(
         decided: String,
         reason: String,
-    ): Unit = DecisionLog.decision("membership", decided, reason, "instance" to own.instance)
+        now: Moment,
+    ): Unit = decisions.decision(now, SUBJECT, decided, reason, "instance" to own.instance)
 
     private class Handled(
         val reply: GossipMessage?,
@@ -138,6 +150,10 @@
     )
 
     private companion object {
+        const val SUBJECT = "membership"
+
+        /** The least time between two views given to the routing, whose table is compiled anew for each. */
+        val VIEW_INTERVAL: Duration = 100.milliseconds
         val LISTED_LEAVING_GRACE: Duration = 30.seconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -51,7 +51,8 @@
     private val callers = CallerEndpoint(proxy, clock, limits)
 
     /** Keeps configuration and membership up to date. */
-    public val control: ControlPlane = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random)
+    public val control: ControlPlane =
+        ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, decisions = decisions)
 
     private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
     private val statusProviders = statusProviders { control { now -> control.status(now) } }
--- a/node/src/test/kotlin/org/celeryusher/node/control/ControlFleet.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/control/ControlFleet.kt
@@ -19,6 +19,7 @@
 internal class ControlFleet(
     size: Int,
     secret: String? = null,
+    changed: (NodeSettings) -> NodeSettings = { it },
 ) : AutoCloseable {
     val platform = FakePlatform()
     private val resources = SharedResources()
@@ -27,7 +28,8 @@
     private var lives = 1L
     val nodes =
         MutableList(size) { index ->
-            newNode(ControlNode.settingsOf(index, addresses[index], platform.address, addresses.take(2) - addresses[index], secret))
+            val seeds = addresses.take(2) - addresses[index]
+            newNode(changed(ControlNode.settingsOf(index, addresses[index], platform.address, seeds, secret)))
         }
 
     suspend fun startAll() = nodes.forEach { start(it) }
--- a/node/src/test/kotlin/org/celeryusher/node/control/ControlPlaneTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/control/ControlPlaneTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.membership.PlatformInstanceState
+import org.celeryusher.node.settings.NodeSettings
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -11,6 +12,7 @@
 import java.time.Duration.ofSeconds
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
@@ -19,8 +21,9 @@
     private fun withFleet(
         size: Int,
         secret: String? = null,
+        changed: (NodeSettings) -> NodeSettings = { it },
         check: suspend ControlFleet.() -> Unit,
-    ) = runBlocking { ControlFleet(size, secret).use { it.check() } }
+    ) = runBlocking { ControlFleet(size, secret, changed).use { it.check() } }
 
     @Test
     fun aChangeComesInForceEverywhereAndABadVersionChangesNothing() =
@@ -161,6 +164,16 @@
             await("a dead node is found", on = nodes.take(2)) { it.stateOf(nodes[5]) in setOf(MemberState.SUSPECTED, MemberState.DEAD) }
         }
 
+    @Test
+    fun aNodeThatReadsAloneTakesEverythingFromThePlatform() =
+        withFleet(1, changed = { it.copy(control = it.control.copy(readsPlatformAlone = true, watchMilliseconds = 500)) }) {
+            platform.publish(1, Documents.text(1))
+            platform.list(nodes.map { it.settings.listed() })
+            startAll()
+            await("version 1 and the list") { it.version == 1L && it.stateOf(it) == MemberState.LIVE }
+            assertFalse(nodes[0].control.needsRefresh)
+        }
+
     @Test
     fun messagesThatAreUnsignedMalformedOrTooLargeAreRefusedAndTheNodeGoesOn() {
         val body = """{"from":{"i":"x","n":5},"hash":1}"""
