--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
@@ -38,7 +38,7 @@
     random: Random,
     extras: GossipExtras,
     private val tuning: ControlTuning,
-    decisions: DecisionLog = DecisionLog(settings.instance),
+    decisions: DecisionLog = DecisionLog(settings.instance, clock),
 ) {
     /** Creates the control plane of the node that [settings] describe, in its life [incarnation]. */
     public constructor(
@@ -49,7 +49,7 @@
         clock: ProcessClock,
         random: Random,
         extras: GossipExtras = GossipExtras.None,
-        decisions: DecisionLog = DecisionLog(settings.instance),
+        decisions: DecisionLog = DecisionLog(settings.instance, clock),
     ) : this(settings, incarnation, routing, httpClient, clock, random, extras, ControlTuning.of(settings.control), decisions)
 
     private val job = SupervisorJob()
--- a/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/MemberKeeper.kt
@@ -80,7 +80,7 @@
         now: Moment,
     ): List<ControlAction> {
         if (isLeaving) return emptyList()
-        log("leave", reason, now)
+        log("leave", reason)
         return handle(MembershipEvent.LeaveStarted, now)
     }
 
@@ -116,10 +116,10 @@
                 is MembershipDecision.StartExchange -> actions += ControlAction.Exchange(decision)
                 is MembershipDecision.Reply -> reply = decision.message
                 is MembershipDecision.ViewChanged -> takeView(decision, now)
-                is MembershipDecision.RefreshBeforePlacing -> log("hold new work", decision.cause.name, now)
+                is MembershipDecision.RefreshBeforePlacing -> log("hold new work", decision.cause.name)
                 is MembershipDecision.PlacingAllowed ->
-                    log("place new work", if (decision.refreshed) "refreshed" else "waited long enough", now)
-                is MembershipDecision.IncarnationRaised -> log("raise incarnation to ${decision.incarnation}", "was ${decision.cause}", now)
+                    log("place new work", if (decision.refreshed) "refreshed" else "waited long enough")
+                is MembershipDecision.IncarnationRaised -> log("raise incarnation to ${decision.incarnation}", "was ${decision.cause}")
             }
         }
         return Handled(reply, actions)
@@ -134,15 +134,14 @@
         if (now - publishedAt >= VIEW_INTERVAL) publishPending(now)
         for (change in decision.changes) {
             val decided = change.to?.name ?: "FORGOTTEN"
-            decisions.decision(now, SUBJECT, decided, change.reason.name, "instance" to change.instance, "from" to change.from)
+            decisions.decision(SUBJECT, decided, change.reason.name, "instance" to change.instance, "from" to change.from)
         }
     }
 
     private fun log(
         decided: String,
         reason: String,
-        now: Moment,
-    ): Unit = decisions.decision(now, SUBJECT, decided, reason, "instance" to own.instance)
+    ): Unit = decisions.decision(SUBJECT, decided, reason, "instance" to own.instance)
 
     private class Handled(
         val reply: GossipMessage?,
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -38,7 +38,7 @@
     /** The metrics of this node. */
     public val metrics: NodeMetrics = NodeMetrics(routing)
 
-    private val decisions = DecisionLog(settings.instance)
+    private val decisions = DecisionLog(settings.instance, clock)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
     private val limits = settings.limits
