--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlState.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlState.kt
@@ -67,6 +67,7 @@
     fun tick(): List<ControlAction> {
         val now = clock.now()
         val actions = members.handle(MembershipEvent.Ticked, now) + members.leaveWhenListed(now)
+        members.publishPending(now)
         isRefreshing = members.isRefreshing
         lastTick = now
         return actions + configuration.tick(members.view, now) + inquiries()
--- a/standin/src/main/kotlin/org/celeryusher/standin/fleet/FreePorts.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/fleet/FreePorts.kt
@@ -3,22 +3,30 @@
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
-import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 /** Finds free loopback ports below the range from which the system takes ports for outgoing connections. */
 internal object FreePorts {
-    private const val FIRST_PORT = 10_000
-    private const val LAST_PORT = 30_000
-    private val next = AtomicInteger((ProcessHandle.current().pid() * 97 % (LAST_PORT - FIRST_PORT)).toInt())
+    private const val FIRST_PORT = 12_000
+    private const val LAST_PORT = 32_000
 
     /** Returns [count] different ports that are free at the time of the call. */
-    fun take(count: Int): List<Int> =
-        generateSequence { FIRST_PORT + Math.floorMod(next.getAndIncrement(), LAST_PORT - FIRST_PORT) }
-            .take(LAST_PORT - FIRST_PORT)
-            .filter(::isFree)
-            .take(count)
-            .toList()
-            .also { check(it.size == count) { "only ${it.size} of $count ports are free between $FIRST_PORT and $LAST_PORT" } }
+    fun take(
+        count: Int,
+        random: Random = Random.Default,
+    ): List<Int> {
+        val range = LAST_PORT - FIRST_PORT
+        val start = random.nextInt(range)
+        val free =
+            (0 until range)
+                .asSequence()
+                .map { FIRST_PORT + (start + it) % range }
+                .filter(::isFree)
+                .take(count)
+                .toList()
+        check(free.size == count) { "only ${free.size} of $count ports are free" }
+        return free
+    }
 
     private fun isFree(port: Int): Boolean =
         try {
