--- a/standin/src/main/kotlin/org/celeryusher/standin/measure/LatencyMeasurement.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/measure/LatencyMeasurement.kt
@@ -79,7 +79,7 @@
     }
 
     private fun ways(): List<Way> {
-        val route = shape.document.routes.first { it.idempotent }
+        val route = shape.document.routes.first { route -> route.idempotent && shape.calls.any { it.path == route.pathPrefix } }
         val target = "${route.pathPrefix}/7"
         val owner = fleet.instances.first { it.node.settings.service == route.service }
         val other = fleet.instances.first { it.node.settings.service != route.service }
