Measure control at rest apart from the start, and let an idle guard sleep

Cause: measure convergence divided all control bytes since the start by a few seconds, and counted start-up work as cost at rest; a profile (JFR, 50 nodes) showed the guard's 5 ms tick as the largest part of an idle node's own work. Ruled out: the size of gossip messages, about 600 bytes. Change: the idle window begins 15 s after the start and counts bytes and messages from the nodes' own counters; the guard sleeps while nothing is queued; endpoints are resolved once a service, not once a route.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
@@ -43,11 +43,12 @@
         ): RoutingTable {
             val resolved = mutableListOf<ResolvedRoute>()
             val held = mutableListOf<HeldRoute>()
+            val endpointsByService = snapshot.document.services.associate { it.name to endpointsOf(view.providersOf(it.name)) }
             for (route in snapshot.document.routes) {
                 val service =
                     snapshot.service(route.service)
                         ?: error("snapshot ${snapshot.digest} has a route to the unknown service ${route.service}")
-                val endpoints = endpointsOf(view.providersOf(route.service))
+                val endpoints = endpointsByService[route.service]
                 if (endpoints == null) {
                     held += HeldRoute(route)
                 } else {
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.admission.AdmissionController
@@ -50,6 +51,7 @@
     private val attempts = AttemptRegistry(life)
     private val tickets = GuardTickets(instance, life, random)
     private val tasks = HashMap<AttemptId, GuardTask>()
+    private val queued = Channel<Unit>(Channel.CONFLATED)
     private var admission: AdmissionController<AttemptId>? = null
     private var quarantine: Duration = DEFAULT_QUARANTINE
 
@@ -115,18 +117,23 @@
     /** The load that proxies are told. */
     fun load(): GuardLoad? = synchronized(lock) { admission?.load(clock.now()) }
 
-    /** Refuses queued calls whose deadline can no longer be met, until cancelled. */
+    /** Refuses queued calls whose deadline can no longer be met, until cancelled; sleeps while no call is queued. */
     suspend fun runTicks() {
         while (true) {
-            synchronized(lock) {
-                val now = clock.now()
-                val due = admission?.nextTick()
-                if (due != null && due <= now) admission?.let { carryOut(it.tick(now), now) }
-            }
-            delay(TICK_INTERVAL)
+            if (tickWhenDue()) delay(TICK_INTERVAL) else queued.receive()
         }
     }
 
+    /** Returns whether another tick is due some time. */
+    private fun tickWhenDue(): Boolean =
+        synchronized(lock) {
+            val now = clock.now()
+            val controller = admission
+            val due = controller?.nextTick()
+            if (controller != null && due != null && due <= now) carryOut(controller.tick(now), now)
+            controller?.nextTick() != null
+        }
+
     private fun admit(
         call: GuardCall,
         fingerprint: RequestFingerprint,
@@ -266,12 +273,20 @@
             val task = tasks[decision.key] ?: continue
             when (decision) {
                 is AdmissionDecision.Start -> startTask(task, decision, now)
-                is AdmissionDecision.Enqueued -> logDecision(task, "queued", "no free slot", decision)
+                is AdmissionDecision.Enqueued -> noteQueued(task, decision)
                 is AdmissionDecision.Refuse -> refuseTask(task, decision, now)
             }
         }
     }
 
+    private fun noteQueued(
+        task: GuardTask,
+        decision: AdmissionDecision.Enqueued<AttemptId>,
+    ) {
+        queued.trySend(Unit)
+        logDecision(task, "queued", "no free slot", decision)
+    }
+
     private fun startTask(
         task: GuardTask,
         decision: AdmissionDecision.Start<AttemptId>,
--- a/standin/src/main/kotlin/org/celeryusher/standin/measure/ConvergenceMeasurement.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/measure/ConvergenceMeasurement.kt
@@ -9,11 +9,9 @@
 import org.HdrHistogram.Histogram
 import org.celeryusher.kernel.configuration.ConfigurationDocument
 import org.celeryusher.node.settings.ControlSettings
-import org.celeryusher.standin.demo.ControlBytes
 import org.celeryusher.standin.fleet.DeploymentShape
 import org.celeryusher.standin.fleet.FleetInstance
 import org.celeryusher.standin.fleet.LocalFleet
-import org.celeryusher.standin.load.Caller
 import org.celeryusher.standin.report.TextTable
 import java.lang.management.ManagementFactory
 import java.util.Locale
@@ -39,8 +37,10 @@
     public val idlePlatformCallsMaximumPerSecond: Long,
     /** Processor time of the whole process a second while nothing changes, divided by the nodes. */
     public val idleProcessorMillisecondsPerNodeAndSecond: Double,
-    /** Control bytes a node and second over the whole row, as the nodes' metrics tell; null when they tell nothing. */
-    public val controlBytesPerNodeAndSecond: Double?,
+    /** Control messages that a node sends and receives a second while nothing changes; requests and answers count as one each. */
+    public val idleMessagesPerNodeAndSecond: Double,
+    /** Control bytes that a node sends and receives a second while nothing changes, headers included. */
+    public val idleBytesPerNodeAndSecond: Double,
 )
 
 /** What `measure convergence` found. */
@@ -62,6 +62,7 @@
                     "all ms",
                     "idle calls/s",
                     "idle cpu ms/node/s",
+                    "messages/node/s",
                     "bytes/node/s",
                 ),
             )
@@ -76,7 +77,8 @@
                 decimal(row.allMilliseconds),
                 decimal(row.idlePlatformCallsPerSecond),
                 decimal(row.idleProcessorMillisecondsPerNodeAndSecond),
-                row.controlBytesPerNodeAndSecond?.let(::decimal),
+                decimal(row.idleMessagesPerNodeAndSecond),
+                decimal(row.idleBytesPerNodeAndSecond),
             )
         }
         return "$deployment, configuration changes\n$table"
@@ -111,7 +113,6 @@
         tell("$size nodes, $way")
         val fleet = LocalFleet(shape.scaledTo(size), control)
         check(fleet.start(START_LIMIT)) { "not all of $size nodes came up with a configuration in force" }
-        val start = TimeSource.Monotonic.markNow()
         val idle = idleCost(fleet)
         val histogram = Histogram(HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
         var slowest = 0.0
@@ -123,8 +124,6 @@
             slowest = maxOf(slowest, times.maxOf { it ?: CONVERGENCE_LIMIT.inWholeMicroseconds } / MICROSECONDS_PER_MILLISECOND)
             delay(PAUSE_BETWEEN_CHANGES)
         }
-        val elapsed = start.elapsedNow().inWholeMilliseconds / MILLISECONDS_PER_SECOND
-        val bytes = Caller().use { ControlBytes(it).total(fleet.inUse) }
         fleet.stop()
         return ConvergenceRow(
             way = way,
@@ -137,7 +136,8 @@
             idlePlatformCallsPerSecond = idle.platformCallsPerSecond,
             idlePlatformCallsMaximumPerSecond = idle.platformCallsMaximum,
             idleProcessorMillisecondsPerNodeAndSecond = idle.processorMillisecondsPerNode,
-            controlBytesPerNodeAndSecond = bytes?.let { it / size / elapsed },
+            idleBytesPerNodeAndSecond = idle.bytesPerNode,
+            idleMessagesPerNodeAndSecond = idle.messagesPerNode,
         )
     }
 
@@ -174,12 +174,16 @@
     private suspend fun idleCost(fleet: LocalFleet): IdleCost {
         delay(SETTLING)
         val calls = fleet.platform.counts.total
+        val traffic = trafficOf(fleet)
         val processor = processorNanoseconds()
         val start = TimeSource.Monotonic.markNow()
         delay(IDLE)
         val seconds = start.elapsedNow().inWholeMilliseconds / MILLISECONDS_PER_SECOND
         val processorMilliseconds = (processorNanoseconds() - processor) / NANOSECONDS_PER_MILLISECOND
+        val after = trafficOf(fleet)
         return IdleCost(
+            bytesPerNode = (after.bytes - traffic.bytes) / seconds / fleet.instances.size,
+            messagesPerNode = (after.messages - traffic.messages) / seconds / fleet.instances.size,
             platformCallsPerSecond = (fleet.platform.counts.total - calls) / seconds,
             platformCallsMaximum = fleet.platform.counts.maximumPerSecond,
             processorMillisecondsPerNode = processorMilliseconds / seconds / fleet.instances.size,
@@ -196,7 +200,25 @@
         (ManagementFactory.getOperatingSystemMXBean() as? OperatingSystemMXBean)?.processCpuTime
             ?: error("this JVM tells no processor time")
 
+    private fun trafficOf(fleet: LocalFleet): Traffic {
+        val counts =
+            fleet.instances.map {
+                it.node.control
+                    .status()
+                    .traffic
+            }
+        return Traffic(counts.sumOf { it.bytesIn + it.bytesOut }, counts.sumOf { it.messagesIn + it.messagesOut })
+    }
+
+    /** What all nodes have sent and received. */
+    private class Traffic(
+        val bytes: Long,
+        val messages: Long,
+    )
+
     private class IdleCost(
+        val bytesPerNode: Double,
+        val messagesPerNode: Double,
         val platformCallsPerSecond: Double,
         val platformCallsMaximum: Long,
         val processorMillisecondsPerNode: Double,
@@ -216,7 +238,7 @@
         val CONVERGENCE_LIMIT = 20.seconds
         val LOOK_INTERVAL = 2.milliseconds
         val PAUSE_BETWEEN_CHANGES = 1_500.milliseconds
-        val SETTLING = 2.seconds
-        val IDLE = 4.seconds
+        val SETTLING = 15.seconds
+        val IDLE = 10.seconds
     }
 }
