--- a/node/src/main/kotlin/org/celeryusher/node/runtime/SharedResources.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/SharedResources.kt
@@ -18,6 +18,7 @@
     public val httpClient: HttpClient =
         run {
             System.setProperty(SEND_LIMIT_PROPERTY, "1")
+            System.setProperty(KEEP_ALIVE_PROPERTY, KEEP_ALIVE_SECONDS.toString())
             HttpClient(Java) {
                 expectSuccess = false
                 followRedirects = false
@@ -35,5 +36,9 @@
     private companion object {
         // The JDK's client sends a request again by itself when a pooled connection breaks; one send keeps the run status honest.
         const val SEND_LIMIT_PROPERTY = "jdk.httpclient.redirects.retrylimit"
+
+        // The default keeps an idle connection for 20 minutes: a node that talks to random others would end with one to each of them.
+        const val KEEP_ALIVE_PROPERTY = "jdk.httpclient.keepalive.timeout"
+        const val KEEP_ALIVE_SECONDS = 5
     }
 }
