Tell the guard of a configuration before readers see it

Cause: the whole path test failed in a fresh clone with NO_CONFIGURATION: the routing table was visible before the listeners, the guard among them, had the new value, so a node looked ready whose guard refused. Ruled out: the start of the second node, which the test waits for. Change: listeners run first, then the one assignment. Conclusion: the order was the fault; the test is unchanged.

--- a/node/src/main/kotlin/org/celeryusher/node/runtime/RoutingState.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/RoutingState.kt
@@ -28,7 +28,7 @@
 
     private val listeners = CopyOnWriteArrayList<(Current) -> Unit>()
 
-    /** Has [listener] called with each new value, in the thread that replaced it. */
+    /** Has [listener] called with each new value, in the thread that replaces it and before readers see it. */
     public fun onChange(listener: (Current) -> Unit) {
         listeners += listener
     }
@@ -45,7 +45,9 @@
         snapshot: ConfigurationSnapshot?,
         view: MembershipView,
     ) {
-        current = Current(snapshot, view, snapshot?.let { RoutingTable.compile(it, view, place) })
-        listeners.forEach { it(current) }
+        val next = Current(snapshot, view, snapshot?.let { RoutingTable.compile(it, view, place) })
+        // The guard must know a configuration before anybody can see that this node has it.
+        listeners.forEach { it(next) }
+        current = next
     }
 }
