--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionPolicy.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionPolicy.kt
@@ -27,27 +27,34 @@
     public companion object {
         private const val SHARE_ROUNDING = 1e-6
 
-        /** Returns the policy for a backend server of [service] under [settings], with the ranks of [snapshot]. */
+        /**
+         * Returns the policy for a backend server of [service] under [settings], with the ranks of [snapshot].
+         *
+         * The server's [statedSlots] go before those that the service declares; a server for which neither is known gets one.
+         */
         public fun of(
             snapshot: ConfigurationSnapshot,
             settings: FleetSettings,
             service: ServiceDeclaration,
-        ): AdmissionPolicy = of(snapshot.document.ranks, settings, service)
+            statedSlots: Int? = null,
+        ): AdmissionPolicy = of(snapshot.document.ranks, settings, service.copy(slots = statedSlots ?: service.slots))
 
         /** Returns the policy for a backend server of [service] under [settings] with the given [ranks]. */
         public fun of(
             ranks: List<RankDeclaration>,
             settings: FleetSettings,
             service: ServiceDeclaration,
-        ): AdmissionPolicy =
-            AdmissionPolicy(
+        ): AdmissionPolicy {
+            val slots = service.slots ?: 1
+            return AdmissionPolicy(
                 ranks = ranks.map { RankPolicy(it.name, it.guaranteedShare) },
-                slots = service.slots,
+                slots = slots,
                 connections = service.connections,
-                queuePlaces = settings.queuedCallsPerSlot * service.slots,
+                queuePlaces = settings.queuedCallsPerSlot * slots,
                 drainLimit = settings.drainLimitMilliseconds.milliseconds,
                 slowStart = settings.slowStartMilliseconds.milliseconds,
             )
+        }
     }
 }
 
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
@@ -31,6 +31,28 @@
         return faults.toFaultsOrNull()?.left() ?: checkNotNull(snapshot) { "no snapshot and no fault" }.right()
     }
 
+    /**
+     * Returns the snapshot of a [document] that was published in another format, or all its faults.
+     *
+     * Its digest has the hash of the bytes [published], so that two different publications under one version are told apart.
+     */
+    public fun accept(
+        document: ConfigurationDocument,
+        published: ByteArray,
+    ): Either<NonEmptyList<ConfigurationFault>, ConfigurationSnapshot> {
+        val faults = FaultCollector()
+        DocumentRules(DocumentDraft.of(document), faults).check()
+        faults.toFaultsOrNull()?.let { return it.left() }
+        val digest = ConfigurationDigest(document.version, LongHashFunction.xx3().hashBytes(published))
+        return ConfigurationSnapshot(document, digest, lazy { canonicalTextOf(document) }).right()
+    }
+
+    private fun canonicalTextOf(document: ConfigurationDocument): String {
+        val serializer = ConfigurationDocument.serializer()
+        val tree = Json.encodeToJsonElement(serializer, document)
+        return DocumentShape(FaultCollector()).canonical(tree, serializer.descriptor, JsonPath.ROOT).toString()
+    }
+
     /** Returns the version that the document in [bytes] states, also when the document is faulty, or null when there is none to read. */
     public fun versionOrNull(bytes: ByteArray): Long? =
         (treeOrNull(bytes, MAXIMUM_DOCUMENT_BYTES, FaultCollector()) as? JsonObject)?.let { DocumentDraft.of(it).version }
@@ -89,7 +111,7 @@
         DocumentRules(DocumentDraft.of(document), faults).check()
         if (!faults.isEmpty()) return null
         val text = canonical.toString()
-        return ConfigurationSnapshot(document, ConfigurationDigest(document.version, hashOf(text)), text)
+        return ConfigurationSnapshot(document, ConfigurationDigest(document.version, hashOf(text)), lazyOf(text))
     }
 
     private fun hashOf(canonicalText: String): Long = LongHashFunction.xx3().hashChars(canonicalText)
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationSnapshot.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationSnapshot.kt
@@ -14,9 +14,11 @@
 public class ConfigurationSnapshot internal constructor(
     public val document: ConfigurationDocument,
     public val digest: ConfigurationDigest,
-    /** The document as canonical JSON, whose hash is [digest]'s: parse it again for an equal snapshot, or send it to another node. */
-    public val canonicalText: String,
+    canonicalText: Lazy<String>,
 ) {
+    /** The document as canonical JSON: parse it again for an equal snapshot, or send it to another node. */
+    public val canonicalText: String by canonicalText
+
     private val servicesByName = document.services.associateBy(ServiceDeclaration::name)
     private val routesByName = document.routes.associateBy(RouteDeclaration::name)
     private val rankPositions = document.ranks.mapIndexed { index, rank -> rank.name to index }.toMap()
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentDraft.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentDraft.kt
@@ -23,6 +23,7 @@
     val services: List<DraftEntry<ServiceDeclaration>>?,
     val routes: List<DraftEntry<RouteDeclaration>>?,
     val exceptions: List<DraftEntry<FleetException>>?,
+    val callers: CallerLimits?,
 ) {
     companion object {
         /** Returns the draft of a [document] whose shape is right throughout. */
@@ -34,6 +35,7 @@
                 services = entries("services", document.services) { it.name.value },
                 routes = entries("routes", document.routes) { it.name.value },
                 exceptions = entries("exceptions", document.exceptions) { it.name },
+                callers = document.callers,
             )
 
         /** Returns the draft of the document in [tree]. The faults of its shape are not reported here; [DocumentShape] does that. */
@@ -45,6 +47,7 @@
                 services = entries(tree, "services", ServiceDeclaration.serializer()),
                 routes = entries(tree, "routes", RouteDeclaration.serializer()),
                 exceptions = if ("exceptions" in tree) entries(tree, "exceptions", FleetException.serializer()) else emptyList(),
+                callers = if ("callers" in tree) decoded(tree["callers"], CallerLimits.serializer()) else null,
             )
 
         private fun <T : Any> entries(
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentRules.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentRules.kt
@@ -22,6 +22,18 @@
         checkSamePrefix()
         checkEntries("exceptions", draft.exceptions, ::checkException)
         checkContradictions()
+        draft.callers?.let(::checkCallerLimits)
+    }
+
+    private fun checkCallerLimits(limits: CallerLimits) {
+        val path = JsonPath.ROOT.member("callers")
+        listOf(
+            "maximumHeaderBytes" to limits.maximumHeaderBytes.toLong(),
+            "maximumBodyBytes" to limits.maximumBodyBytes.toLong(),
+            "headerTimeoutMilliseconds" to limits.headerTimeoutMilliseconds,
+            "idleTimeoutMilliseconds" to limits.idleTimeoutMilliseconds,
+        ).filter { (_, value) -> value < 1 }
+            .forEach { (name, value) -> faults.add(path.member(name), JsonPrimitive(value), "must be 1 or more") }
     }
 
     private fun checkVersion() {
@@ -75,13 +87,14 @@
         path: JsonPath,
         service: ServiceDeclaration,
     ) {
-        if (service.slots !in 1..MAXIMUM_SLOTS) {
-            faults.add(path.member("slots"), JsonPrimitive(service.slots), "must lie from 1 to $MAXIMUM_SLOTS")
+        val slots = service.slots
+        if (slots != null && slots !in 1..MAXIMUM_SLOTS) {
+            faults.add(path.member("slots"), JsonPrimitive(slots), "must lie from 1 to $MAXIMUM_SLOTS")
         }
         if (service.connections !in 1..MAXIMUM_CONNECTIONS) {
             faults.add(path.member("connections"), JsonPrimitive(service.connections), "must lie from 1 to $MAXIMUM_CONNECTIONS")
-        } else if (service.connections < service.slots) {
-            faults.add(path.member("connections"), JsonPrimitive(service.connections), "must not be less than the ${service.slots} slots")
+        } else if (slots != null && service.connections < slots) {
+            faults.add(path.member("connections"), JsonPrimitive(service.connections), "must not be less than the $slots slots")
         }
     }
 
@@ -90,26 +103,50 @@
         route: RouteDeclaration,
     ) {
         if (route.method !in METHODS) faults.add(path.member("method"), route.method, "must be one of ${METHODS.joinToString()}")
+        route.host?.let { if (!HOST.matches(it)) faults.add(path.member("host"), it, "must be a host name in lower case without a port") }
         prefixFault(route.pathPrefix)?.let { faults.add(path.member("pathPrefix"), route.pathPrefix, it) }
         checkReference(path.member("service"), route.service.value, serviceNames, "service")
         checkReference(path.member("rank"), route.rank.value, rankNames, "rank")
         SettingLimits.check(SettingLimits.valuesOf(route.settings), path.member("settings"), faults)
+        checkSplit(path.member("split"), route)
+    }
+
+    private fun checkSplit(
+        path: JsonPath,
+        route: RouteDeclaration,
+    ) {
+        if (route.split.isEmpty()) return
+        route.split.forEachIndexed { index, share ->
+            checkReference(path.element(index).member("service"), share.service.value, serviceNames, "service")
+            if (share.weight < 0) faults.add(path.element(index).member("weight"), JsonPrimitive(share.weight), "must not be below 0")
+        }
+        if (route.split.sumOf { it.weight.toLong() } == 0L) faults.addQuoted(path, "0", "the weights must not all be 0")
+        if (route.split.distinctBy { it.service }.size < route.split.size) faults.addQuoted(path, "split", "names a service twice")
+        if (route.split.first().service != route.service) {
+            faults.add(
+                path.element(0).member("service"),
+                route.split
+                    .first()
+                    .service.value,
+                "must be the route's service ${route.service}",
+            )
+        }
     }
 
     private fun prefixFault(prefix: String): String? =
         when {
             prefix.length > MAXIMUM_PREFIX_CHARACTERS -> "must be at most $MAXIMUM_PREFIX_CHARACTERS characters"
-            !PATH_PREFIX.matches(prefix) -> "must be / or segments such as /invoices/open, without an end slash, query or spaces"
+            !PATH_PREFIX.matches(prefix) -> "must be / or segments such as /invoices/open, without a query or spaces"
             prefix.split('/').any { it == "." || it == ".." } -> "must not have the segments . or .."
             prefix == NODE_PATH || prefix.startsWith("$NODE_PATH/") -> "must not begin with $NODE_PATH, which the nodes keep for themselves"
             else -> null
         }
 
     private fun checkSamePrefix() {
-        val seen = mutableMapOf<Pair<String, String>, String?>()
+        val seen = mutableMapOf<Triple<String?, String, String>, String?>()
         for (entry in draft.routes.orEmpty()) {
             val route = entry.value ?: continue
-            val key = route.method to route.pathPrefix
+            val key = Triple(route.host, route.method, route.pathPrefix)
             if (key in seen) {
                 val path = entry.path.member("pathPrefix")
                 faults.add(path, route.pathPrefix, "the route ${seen[key]} already matches ${route.method} with this prefix")
@@ -189,8 +226,9 @@
         const val MAXIMUM_PREFIX_CHARACTERS = 256
         const val MAXIMUM_REASON_CHARACTERS = 1_000
         const val NODE_PATH = "/-"
-        val METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+        val METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", RouteDeclaration.ANY_METHOD)
         val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-        val PATH_PREFIX = Regex("/|(/[A-Za-z0-9._~%:@-]+)+")
+        val PATH_PREFIX = Regex("/|(/[A-Za-z0-9._~%:@-]+)+/?")
+        val HOST = Regex("[a-z0-9]([a-z0-9._-]{0,251}[a-z0-9])?")
     }
 }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/FleetSettings.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/FleetSettings.kt
@@ -21,6 +21,8 @@
     public val ejectionCapShare: Double = 0.3,
     /** How long requests that crashed backend servers are refused. */
     public val quarantineMilliseconds: Long = 600_000,
+    /** The latency within which an answer has its full worth; a call that can no longer meet it gives way to those that can. */
+    public val targetLatencyMilliseconds: Long = 2_000,
 )
 
 /** A change of some settings: fields that are absent keep the value from before. */
@@ -34,6 +36,7 @@
     public val slowStartMilliseconds: Long? = null,
     public val ejectionCapShare: Double? = null,
     public val quarantineMilliseconds: Long? = null,
+    public val targetLatencyMilliseconds: Long? = null,
 ) {
     /** Returns [settings] with the fields of this change in place of its own. */
     public fun applyTo(settings: FleetSettings): FleetSettings =
@@ -46,5 +49,6 @@
             slowStartMilliseconds = slowStartMilliseconds ?: settings.slowStartMilliseconds,
             ejectionCapShare = ejectionCapShare ?: settings.ejectionCapShare,
             quarantineMilliseconds = quarantineMilliseconds ?: settings.quarantineMilliseconds,
+            targetLatencyMilliseconds = targetLatencyMilliseconds ?: settings.targetLatencyMilliseconds,
         )
 }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/SettingLimits.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/SettingLimits.kt
@@ -25,6 +25,7 @@
             "slowStartMilliseconds" to 0.0..HOUR_MILLISECONDS,
             "ejectionCapShare" to 0.0..1.0,
             "quarantineMilliseconds" to 0.0..DAY_MILLISECONDS,
+            "targetLatencyMilliseconds" to 1.0..HOUR_MILLISECONDS,
         )
 
     /** The names of all settings, in the order of their declaration. */
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/execution/RetryPolicy.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/RetryPolicy.kt
@@ -7,7 +7,7 @@
 /** One call at the proxy that forwards it, as far as retries depend on it. */
 public data class CallProgress(
     public val idempotent: Boolean,
-    /** Attempts made so far, the one that has just ended included. */
+    /** Attempts made so far that may have reached a backend server, the one that has just ended included. */
     public val attempts: Int,
     public val maximumAttempts: Int,
     public val deadline: DeadlineBudget,
@@ -17,6 +17,11 @@
     public val requestIsRetry: Boolean,
     /** The answer carries `Celeryusher-Retried`. */
     public val answerIsRetried: Boolean,
+    /** Guards asked so far, the one that has just answered included; a guard that refuses costs no backend server anything. */
+    public val offers: Int = attempts,
+    public val maximumOffers: Int = Int.MAX_VALUE,
+    /** When the call arrived at this node. */
+    public val arrivedAt: Moment = Moment.DISTANT_PAST,
 )
 
 /** Decides whether a call is tried again. Only idempotent work, or work proven not run, ever is. */
@@ -24,8 +29,8 @@
     /**
      * Returns what to do after the attempt of [call] that ended with [outcome], and takes a retry from [budget] when it is one.
      *
-     * Work handed back by a server or node that leaves, or that has just started and holds no configuration, costs no budget: nothing was
-     * spent on it, and neither is overload.
+     * Work that a guard refused costs no budget, because no backend server spent anything on it; the number of guards asked is bounded
+     * instead. An idempotent call that a backend server failed with a status from 500 is tried again when as much time is left as has passed.
      */
     public fun decide(
         outcome: Outcome,
@@ -46,8 +51,10 @@
             call.requestIsRetry -> AnswerReason.RETRIED_ABOVE
             call.answerIsRetried -> AnswerReason.RETRIED_BELOW
             call.attempts >= call.maximumAttempts -> AnswerReason.ATTEMPTS_SPENT
+            call.offers >= call.maximumOffers -> AnswerReason.ATTEMPTS_SPENT
             call.untriedEndpoints == 0 -> AnswerReason.NO_OTHER_ENDPOINT
             call.deadline.hasPassed(now) -> AnswerReason.DEADLINE
+            outcome is Outcome.Ran && call.deadline.left(now) < now - call.arrivedAt -> AnswerReason.DEADLINE
             else -> null
         }
 
@@ -56,7 +63,7 @@
         idempotent: Boolean,
     ): AnswerReason? =
         when (outcome) {
-            is Outcome.Ran -> AnswerReason.RAN
+            is Outcome.Ran -> AnswerReason.RAN.takeUnless { idempotent && outcome.httpStatus >= FIRST_SERVER_ERROR }
             is Outcome.NotRun -> AnswerReason.NOT_RETRYABLE.takeUnless { isRetryableElsewhere(outcome.kind) }
             is Outcome.Unknown ->
                 when {
@@ -72,8 +79,7 @@
         outcome: Outcome,
         budget: RetryBudget,
     ): AnswerReason? {
-        val handedBack = outcome is Outcome.NotRun && outcome.kind in handedBackKinds
-        return AnswerReason.BUDGET_SPENT.takeUnless { handedBack || budget.tryRetry() }
+        return AnswerReason.BUDGET_SPENT.takeUnless { !reachedServer(outcome) || budget.tryRetry() }
     }
 
     private fun answer(
@@ -85,7 +91,21 @@
         return RetryDecision.Answer(outcome, reason, markRetried = retriesAreOver)
     }
 
-    private val handedBackKinds = setOf(ErrorKind.DRAINING, ErrorKind.NODE_STOPPING, ErrorKind.NO_CONFIGURATION)
+    /** Returns whether an attempt that ended with [outcome] may have reached a backend server. */
+    public fun reachedServer(outcome: Outcome): Boolean = outcome !is Outcome.NotRun || outcome.kind !in refusedBeforeServer
+
+    private const val FIRST_SERVER_ERROR = 500
+
+    private val refusedBeforeServer =
+        setOf(
+            ErrorKind.DRAINING,
+            ErrorKind.NODE_STOPPING,
+            ErrorKind.NO_CONFIGURATION,
+            ErrorKind.OVERLOADED,
+            ErrorKind.DEADLINE_BEFORE_START,
+            ErrorKind.CONNECTION_REFUSED,
+            ErrorKind.SERVER_REPLACED,
+        )
 
     /** The caller has gone, or only the caller or the ticket's owner can do something about it. */
     private val answeredToCaller =
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Member.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Member.kt
@@ -22,6 +22,8 @@
     /** Which life of the node this is; null when only the platform's list has named the instance. */
     public val incarnation: Incarnation? = null,
     public val state: MemberState = MemberState.LIVE,
+    /** How many calls the backend server runs at a time, when it states that itself. */
+    public val slots: Int? = null,
 )
 
 /** What a node believes about a member. */
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
@@ -29,7 +29,7 @@
         val ejected = ejectedOf(route, now)
         val usable = usableOf(route, tried, ejected)
         if (usable.isEmpty()) return EndpointChoice.NoneLeft
-        val view = CostView(route.service.slots, route.rankPosition, usualLatency(route.endpoints))
+        val view = CostView(route.service.slots ?: slotsOf(route.endpoints), route.rankPosition, usualLatency(route.endpoints))
         val draw = Draw(route, view, now, random)
         val (own, others) = usable.partition { it.dataCentre == distances.own }
         val best = if (own.isEmpty()) draw.bestOfTwo(others) else draw.ownUnlessQueued(own, others)
@@ -69,6 +69,8 @@
         return if (known.isEmpty()) null else known[(known.size - 1) / 2].coerceAtLeast(MINIMUM_SERVICE_TIME)
     }
 
+    private fun slotsOf(endpoints: List<Member>): Int = endpoints.maxOf { it.slots ?: 1 }
+
     private fun wayTo(member: Member): Duration = distances.to(member.dataCentre) * 2
 
     private class Best(
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RouteMatcher.kt
@@ -0,0 +1,50 @@
+package org.celeryusher.kernel.routing
+
+import org.celeryusher.kernel.configuration.RouteDeclaration
+
+/**
+ * Finds the route with the longest matching prefix; the cost of a look-up depends on the length of the path and not on the number of routes.
+ *
+ * The routes of the call's host go before those without a host, a longer prefix before a shorter one, and a named method before any method.
+ */
+internal class RouteMatcher(
+    routes: List<TableRoute>,
+) {
+    private data class Key(
+        val method: String,
+        val prefix: String,
+    )
+
+    private val byHost: Map<String?, Map<Key, TableRoute>> =
+        routes.groupBy { it.declaration.host }.mapValues { (_, ofHost) ->
+            ofHost.associateBy { Key(it.declaration.method, it.declaration.pathPrefix) }
+        }
+
+    fun match(
+        host: String?,
+        method: String,
+        path: String,
+    ): TableRoute? = host?.let { longest(byHost[it.lowercase()], method, path) } ?: longest(byHost[null], method, path)
+
+    private fun longest(
+        routes: Map<Key, TableRoute>?,
+        method: String,
+        path: String,
+    ): TableRoute? {
+        if (routes == null || !path.startsWith('/')) return null
+        var end = path.length
+        while (end > 0) {
+            val prefix = path.substring(0, end)
+            routes[Key(method, prefix)]?.let { return it }
+            routes[Key(RouteDeclaration.ANY_METHOD, prefix)]?.let { return it }
+            end = nextBoundary(path, end)
+        }
+        return null
+    }
+
+    /** Returns the end of the next shorter prefix that may match: just after a slash, or just before it. */
+    private fun nextBoundary(
+        path: String,
+        end: Int,
+    ): Int = if (path[end - 1] == '/') end - 1 else path.lastIndexOf('/', end - 1) + 1
+}
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/RoutingTable.kt
@@ -8,9 +8,11 @@
 import org.celeryusher.kernel.configuration.FleetSettings
 import org.celeryusher.kernel.configuration.RouteDeclaration
 import org.celeryusher.kernel.configuration.ServiceDeclaration
+import org.celeryusher.kernel.identity.ServiceName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.membership.MembershipView
+import kotlin.random.Random
 
 /**
  * The routes of one snapshot, resolved against one membership view: immutable, and swapped in one assignment.
@@ -20,19 +22,22 @@
  */
 public class RoutingTable private constructor(
     public val digest: ConfigurationDigest,
-    public val resolved: List<ResolvedRoute>,
-    public val held: List<HeldRoute>,
+    routes: List<TableRoute>,
 ) {
-    private val byMethod =
-        (resolved.map { it to it.declaration } + held.map { it to it.declaration })
-            .groupBy({ it.second.method }, { it.first })
-            .mapValues { (_, routes) -> routes.sortedByDescending { it.declaration.pathPrefix.length } }
+    private val matcher = RouteMatcher(routes)
 
-    /** Returns the route with the longest prefix that matches [method] and [path], or null when there is none. */
+    /** The routes and parts of split routes that have an endpoint. */
+    public val resolved: List<ResolvedRoute> = routes.flatMap(::partsOf).filterIsInstance<ResolvedRoute>()
+
+    /** The routes and parts of split routes that have none. */
+    public val held: List<HeldRoute> = routes.flatMap(::partsOf).filterIsInstance<HeldRoute>()
+
+    /** Returns the route with the longest prefix that matches [method] and [path] on [host], or null when there is none. */
     public fun match(
         method: String,
         path: String,
-    ): TableRoute? = byMethod[method]?.firstOrNull { matchesPrefix(path, it.declaration.pathPrefix) }
+        host: String? = null,
+    ): TableRoute? = matcher.match(host, method, path)
 
     public companion object {
         /** Resolves the routes of [snapshot] against [view] for the node at [place]. */
@@ -41,22 +46,9 @@
             view: MembershipView,
             place: FleetPlace,
         ): RoutingTable {
-            val resolved = mutableListOf<ResolvedRoute>()
-            val held = mutableListOf<HeldRoute>()
-            val endpointsByService = snapshot.document.services.associate { it.name to endpointsOf(view.providersOf(it.name)) }
-            for (route in snapshot.document.routes) {
-                val service =
-                    snapshot.service(route.service)
-                        ?: error("snapshot ${snapshot.digest} has a route to the unknown service ${route.service}")
-                val endpoints = endpointsByService[route.service]
-                if (endpoints == null) {
-                    held += HeldRoute(route)
-                } else {
-                    val settings = snapshot.effectiveSettings(place.copy(route = route.name))
-                    resolved += ResolvedRoute(route, service, settings, snapshot.rankPosition(route.rank), endpoints)
-                }
-            }
-            return RoutingTable(snapshot.digest, resolved, held)
+            val endpoints = snapshot.document.services.associate { it.name to endpointsOf(view.providersOf(it.name)) }
+            val resolver = RouteResolver(snapshot, endpoints, place)
+            return RoutingTable(snapshot.digest, snapshot.document.routes.map(resolver::resolve))
         }
 
         /** Returns the live providers, and after them the suspected ones as a floor when fewer than half of the two together are live. */
@@ -67,10 +59,11 @@
             return usable.toNonEmptyListOrNull()
         }
 
-        private fun matchesPrefix(
-            path: String,
-            prefix: String,
-        ): Boolean = path.startsWith(prefix) && (path.length == prefix.length || prefix.endsWith('/') || path[prefix.length] == '/')
+        private fun partsOf(route: TableRoute): List<TableRoute> =
+            when (route) {
+                is SplitRoute -> route.parts.map(RoutePart::route)
+                is HeldRoute, is ResolvedRoute -> listOf(route)
+            }
     }
 }
 
@@ -79,6 +72,9 @@
     public val declaration: RouteDeclaration
 }
 
+/** A route, or a part of a [SplitRoute], that goes to one service. */
+public sealed interface ServiceRoute : TableRoute
+
 /** A route with its service and at least one endpoint. */
 public data class ResolvedRoute(
     override val declaration: RouteDeclaration,
@@ -86,9 +82,53 @@
     public val settings: FleetSettings,
     public val rankPosition: Int,
     public val endpoints: NonEmptyList<Member>,
-) : TableRoute
+) : ServiceRoute
 
 /** A route that is held back, because no live backend server provides its service. */
 public data class HeldRoute(
     override val declaration: RouteDeclaration,
-) : TableRoute
+) : ServiceRoute
+
+/** A route whose calls are divided among several services by weight. */
+public data class SplitRoute(
+    override val declaration: RouteDeclaration,
+    public val parts: NonEmptyList<RoutePart>,
+) : TableRoute {
+    /** Draws the part that one call goes to. A part that is held or short of room is drawn like the others, so that the weights hold. */
+    public fun draw(random: Random): ServiceRoute {
+        var left = random.nextLong(parts.sumOf { it.weight.toLong() })
+        for (part in parts) {
+            left -= part.weight
+            if (left < 0) return part.route
+        }
+        error("a drawn number lies below the sum of the weights")
+    }
+}
+
+/** One service of a [SplitRoute], with its weight against the others. */
+public data class RoutePart(
+    public val weight: Int,
+    public val route: ServiceRoute,
+)
+
+private class RouteResolver(
+    private val snapshot: ConfigurationSnapshot,
+    private val endpoints: Map<ServiceName, NonEmptyList<Member>?>,
+    private val place: FleetPlace,
+) {
+    fun resolve(route: RouteDeclaration): TableRoute {
+        val parts = route.split.map { RoutePart(it.weight, toService(route, it.service)) }.toNonEmptyListOrNull()
+        return if (parts == null) toService(route, route.service) else SplitRoute(route, parts)
+    }
+
+    private fun toService(
+        route: RouteDeclaration,
+        name: ServiceName,
+    ): ServiceRoute {
+        val service = snapshot.service(name) ?: error("snapshot ${snapshot.digest} has a route to the unknown service $name")
+        val declaration = if (name == route.service) route else route.copy(service = name)
+        val usable = endpoints[name] ?: return HeldRoute(declaration)
+        val settings = snapshot.effectiveSettings(place.copy(route = route.name))
+        return ResolvedRoute(declaration, service, settings, snapshot.rankPosition(route.rank), usable)
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
@@ -1,16 +1,7 @@
 package org.celeryusher.node.admin
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.http.ContentType
-import io.ktor.http.HttpHeaders
-import io.ktor.http.HttpStatusCode
-import io.ktor.http.content.ByteArrayContent
 import io.ktor.http.parseQueryString
-import io.ktor.server.application.ApplicationCall
-import io.ktor.server.request.httpMethod
-import io.ktor.server.request.uri
-import io.ktor.server.response.header
-import io.ktor.server.response.respond
 import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.json.Json
 import org.celeryusher.kernel.configuration.FleetPlace
@@ -19,32 +10,40 @@
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.node.call.CeleryusherHeaders
 import org.celeryusher.node.call.ErrorAnswer
+import org.celeryusher.node.http.HeaderField
+import org.celeryusher.node.http.HttpHandler
+import org.celeryusher.node.http.HttpRequest
+import org.celeryusher.node.http.HttpResponse
+import org.celeryusher.node.http.RequestFault
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
 
 /** Answers operators at the admin address: `/ready`, `/status`, `/explain?route=R` and `/metrics`. All pages only read. */
-public class AdminPages(
+internal class AdminPages(
     private val place: FleetPlace,
     private val reporter: StatusReporter,
     private val metrics: NodeMetrics,
     private val clock: ProcessClock,
-) {
-    /** Answers one call. */
-    public suspend fun answer(call: ApplicationCall) {
-        val page =
+) : HttpHandler {
+    override suspend fun answer(request: HttpRequest): HttpResponse =
+        answerOf(
             try {
-                page(call.request.httpMethod.value, call.request.uri)
+                page(request.method, request.target)
             } catch (error: CancellationException) {
                 throw error
             } catch (error: RuntimeException) {
-                logger.error(error) { "the admin page ${call.request.uri} failed" }
+                logger.error(error) { "the admin page ${request.target} failed" }
                 AdminPage.Failed(ErrorKind.INTERNAL, error.javaClass.simpleName)
-            }
-        write(call, page)
-    }
+            },
+        )
+
+    override fun answerTo(
+        fault: RequestFault,
+        detail: String,
+    ): HttpResponse = answerOf(AdminPage.Failed(ErrorKind.BAD_REQUEST, detail))
 
     /** Returns the page that [method] on [target] asks for. */
-    internal fun page(
+    fun page(
         method: String,
         target: String,
     ): AdminPage {
@@ -61,7 +60,7 @@
 
     private fun ready(): AdminPage =
         when (val reason = reporter.notReady()) {
-            null -> AdminPage.Shown(ContentType.Text.Plain, "ready\n")
+            null -> AdminPage.Shown(PLAIN_TYPE, "ready\n")
             else -> AdminPage.Failed(reason.kind, "${place.instance}")
         }
 
@@ -78,26 +77,24 @@
         return if (known) json(format.encodeToString(explanation)) else AdminPage.Failed(ErrorKind.NO_ROUTE, "no route is named \"$route\"")
     }
 
-    private fun json(text: String): AdminPage = AdminPage.Shown(ContentType.Application.Json, text)
+    private fun json(text: String): AdminPage = AdminPage.Shown(JSON_TYPE, text)
 
-    private suspend fun write(
-        call: ApplicationCall,
-        page: AdminPage,
-    ): Unit =
+    private fun answerOf(page: AdminPage): HttpResponse =
         when (page) {
-            is AdminPage.Shown -> call.respond(ByteArrayContent(page.text.encodeToByteArray(), page.type, HttpStatusCode.OK))
-            is AdminPage.Failed -> writeError(call, page)
+            is AdminPage.Shown -> HttpResponse(OK, listOf(HeaderField("Content-Type", page.type)), page.text.encodeToByteArray())
+            is AdminPage.Failed -> errorOf(page)
         }
 
-    private suspend fun writeError(
-        call: ApplicationCall,
-        page: AdminPage.Failed,
-    ) {
+    private fun errorOf(page: AdminPage.Failed): HttpResponse {
         val kind = page.kind
-        call.response.header(CeleryusherHeaders.ERROR, kind.name)
-        if (kind.resend == Resend.LATER) call.response.header(HttpHeaders.RetryAfter, RETRY_AFTER_SECONDS)
+        val fields =
+            listOfNotNull(
+                HeaderField(CeleryusherHeaders.ERROR, kind.name),
+                HeaderField("Retry-After", RETRY_AFTER_SECONDS.toString()).takeIf { kind.resend == Resend.LATER },
+                HeaderField("Content-Type", JSON_TYPE),
+            )
         val body = format.encodeToString(ErrorAnswer(kind.name, kind.meaning, page.detail, kind.runStatus.headerValue, kind.resend.name))
-        call.respond(ByteArrayContent(body.encodeToByteArray(), ContentType.Application.Json, HttpStatusCode.fromValue(kind.httpStatus)))
+        return HttpResponse(kind.httpStatus, fields, body.encodeToByteArray())
     }
 
     private companion object {
@@ -107,7 +104,10 @@
         const val METRICS_PATH = "/metrics"
         const val RETRY_AFTER_SECONDS = 1
         val PATHS = listOf(READY_PATH, STATUS_PATH, EXPLAIN_PATH, METRICS_PATH)
-        val METRICS_TYPE = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
+        const val OK = 200
+        const val PLAIN_TYPE = "text/plain; charset=utf-8"
+        const val JSON_TYPE = "application/json"
+        const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
         val format = Json { encodeDefaults = true }
         val logger = KotlinLogging.logger {}
     }
@@ -117,7 +117,7 @@
 internal sealed interface AdminPage {
     /** A page with [text]. */
     data class Shown(
-        val type: ContentType,
+        val type: String,
         val text: String,
     ) : AdminPage
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -1,5 +1,7 @@
 package org.celeryusher.node.call
 
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CancellationException
 import org.celeryusher.kernel.configuration.ConfigurationSnapshot
 import org.celeryusher.kernel.error.ErrorKind
@@ -12,19 +14,21 @@
 import org.celeryusher.kernel.execution.QuarantineNews
 import org.celeryusher.kernel.execution.RequestFingerprint
 import org.celeryusher.kernel.execution.RetryDecision
+import org.celeryusher.kernel.execution.RetryPolicy
 import org.celeryusher.kernel.execution.Ticket
+import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.routing.EndpointChoice
 import org.celeryusher.kernel.routing.EntryDecision
 import org.celeryusher.kernel.routing.HeldRoute
 import org.celeryusher.kernel.routing.ResolvedRoute
+import org.celeryusher.kernel.routing.SplitRoute
+import org.celeryusher.node.http.HeaderField
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
 
 /** A finished call: its result, and whether it was tried more than once on the way. */
 internal class ProxyAnswer(
@@ -34,7 +38,8 @@
 
 /** Routes a caller's request to a backend server that can answer it, and tries again where that is safe. */
 internal class CallProxy(
-    private val ownInstance: InstanceName,
+    private val ownFrames: Address,
+    private val headers: CallHeaders,
     private val routing: RoutingState,
     private val guard: Guard,
     private val frames: FrameClient,
@@ -51,10 +56,12 @@
         awaitFreshView()
         val current = routing.current
         val table = current.table ?: return unrouted(ErrorKind.NO_CONFIGURATION)
-        return when (val route = table.match(request.method, request.path)) {
-            null -> unrouted(ErrorKind.NO_ROUTE, "${request.method} ${request.path}")
-            is HeldRoute -> unrouted(ErrorKind.NO_ENDPOINT, route.declaration.service.value)
-            is ResolvedRoute -> runObserved(route, request, checkNotNull(current.snapshot))
+        val route = table.match(request.method, request.path, request.hostName)
+        return when (val part = if (route is SplitRoute) route.draw(random) else route) {
+            null -> unrouted(ErrorKind.NO_ROUTE, "${request.method} ${request.host}${request.path}")
+            is HeldRoute -> unrouted(ErrorKind.NO_ENDPOINT, part.declaration.service.value)
+            is ResolvedRoute -> runObserved(part, request, checkNotNull(current.snapshot))
+            is SplitRoute -> error("a part of a split route is not split again")
         }
     }
 
@@ -82,7 +89,7 @@
         endpoint: Member,
         route: ResolvedRoute,
     ): TicketReply =
-        if (endpoint.instance == ownInstance) {
+        if (endpoint.frameAddress == ownFrames) {
             guard.issueTicket(route.declaration.name).fold(
                 { TicketReply.Refused(it) },
                 { TicketReply.Issued(it.encode(), (it.expiresAt - it.issuedAt).inWholeMilliseconds) },
@@ -107,7 +114,7 @@
         request: CallRequest,
         snapshot: ConfigurationSnapshot,
     ): ProxyAnswer {
-        val asked = request.header(CeleryusherHeaders.DEADLINE)
+        val asked = request.header(headers.deadline)
         val milliseconds = asked?.toLongOrNull()
         if (asked != null && (milliseconds == null || milliseconds < 0)) return failed(ErrorKind.BAD_REQUEST, badDeadline(asked))
         val deadline = DeadlineBudget.onArrival(milliseconds, route.settings.deadlineMilliseconds.milliseconds, request.arrived)
@@ -134,6 +141,7 @@
         val tried = mutableSetOf<InstanceName>()
         var suspected = suspectedBefore
         var request = call.request
+        var attempts = 0
         while (true) {
             val choice = selection.choose(call.route, tried, clock.now())
             if (choice !is EndpointChoice.Chosen) return failed(ErrorKind.NO_ENDPOINT, call.route.service.name.value)
@@ -142,7 +150,8 @@
             logChoice(call, attempt, choice, tried.size)
             val reply = place(choice.endpoint, attempt, call, request, suspected)
             noteCrash(call.fingerprint, reply)
-            val decision = selection.afterAttempt(call.route, reply.result, progressOf(call, tried, reply), clock.now())
+            if (RetryPolicy.reachedServer(outcomeOf(reply.result))) attempts++
+            val decision = selection.afterAttempt(call.route, reply.result, progressOf(call, tried, attempts, reply), clock.now())
             when (decision) {
                 is RetryDecision.Answer -> return answerAfter(reply, decision)
                 is RetryDecision.Retry -> metrics.retryMade()
@@ -171,7 +180,7 @@
         val sent = clock.now()
         try {
             val outgoing = outgoing(call, request, attempt, endpoint, suspected)
-            val reply = if (endpoint.instance == ownInstance) runHere(outgoing) else frames.run(endpoint.frameAddress, outgoing)
+            val reply = if (endpoint.frameAddress == ownFrames) runHere(outgoing) else frames.run(endpoint.frameAddress, outgoing)
             val now = clock.now()
             selection.answered(call.route, endpoint.instance, reply, now - sent, now)
             return reply
@@ -191,6 +200,8 @@
                 call.request,
                 call.ticket,
                 call.suspected,
+                call.server,
+                call.targetEnd.takeIf { it > clock.now() },
             ),
         )
 
@@ -214,9 +225,7 @@
         val call = Call(route, request, deadline, RequestFingerprint.of(request.method, request.target, request.body), text, ticket.life)
         val result = place(owner, attempt, call, request, suspected = false).result
         val neverSent = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_REFUSED
-        return if (neverSent &&
-            owner.instance != ownInstance
-        ) {
+        return if (neverSent && owner.frameAddress != ownFrames) {
             CallResult.Failed(ErrorKind.TICKET_OWNER_UNREACHABLE, ticket.owner.value)
         } else {
             result
@@ -241,17 +250,23 @@
             ticket = call.ticket,
             ticketLife = call.ticketLife,
             suspected = suspected,
+            server = endpoint.instance,
+            targetEnd = request.arrived + call.route.settings.targetLatencyMilliseconds.milliseconds,
         )
 
     private fun progressOf(
         call: Call,
         tried: Set<InstanceName>,
+        attempts: Int,
         reply: GuardReply,
     ): CallProgress =
         CallProgress(
             idempotent = call.route.declaration.idempotent,
-            attempts = tried.size,
+            attempts = attempts,
             maximumAttempts = call.route.settings.maximumAttempts,
+            offers = tried.size,
+            maximumOffers = MAXIMUM_OFFERS,
+            arrivedAt = call.request.arrived,
             deadline = call.deadline,
             untriedEndpoints = call.route.endpoints.count { it.instance !in tried },
             requestIsRetry = call.request.header(CeleryusherHeaders.RETRY) != null,
@@ -306,7 +321,7 @@
         )
     }
 
-    private fun badDeadline(asked: String): String = "${CeleryusherHeaders.DEADLINE}: \"$asked\" is not a whole number of milliseconds"
+    private fun badDeadline(asked: String): String = "${headers.deadline}: \"$asked\" is not a whole number of milliseconds"
 
     private fun unrouted(
         kind: ErrorKind,
@@ -333,12 +348,15 @@
         /** The request with the mark by which no node below tries it again. */
         val markedAsRetry: CallRequest by lazy {
             val marked = request.headers.filterNot { it.name.equals(CeleryusherHeaders.RETRY, ignoreCase = true) } + RETRY_MARK
-            CallRequest(request.method, request.target, marked, request.body, request.arrived)
+            CallRequest(request.method, request.target, marked, request.body, request.arrived, request.host)
         }
     }
 
     private companion object {
         const val TICKET_ATTEMPTS = 3
+
+        /** How many guards are asked for one call at most; each that refuses costs a round trip and no work of a backend server. */
+        const val MAXIMUM_OFFERS = 4
         const val CRASH_MEMORY_MILLISECONDS = 600_000L
         val ENTRY_RETRY_AFTER = 1_000.milliseconds
         val RETRY_MARK = HeaderField(CeleryusherHeaders.RETRY, "true")
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallResult.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallResult.kt
@@ -1,7 +1,8 @@
 package org.celeryusher.node.call
 
-import org.celeryusher.kernel.error.ErrorKind
 import kotlin.time.Duration
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.node.http.HeaderField
 
 /** How one call ended, as a node answers it. */
 public sealed interface CallResult {
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallSide.kt
@@ -1,15 +1,21 @@
 package org.celeryusher.node.call
 
-import io.ktor.server.application.ApplicationCall
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.configuration.CallerLimits
+import org.celeryusher.kernel.configuration.ConfigurationSnapshot
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.routing.DataCentreDistances
+import org.celeryusher.node.http.ConnectionLimits
+import org.celeryusher.node.http.HttpConnections
+import org.celeryusher.node.http.HttpListener
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
@@ -32,14 +38,20 @@
     random: Random,
     metrics: NodeMetrics,
     decisions: DecisionLog,
+    headers: CallHeaders,
     awaitFreshView: suspend () -> Unit,
 ) {
     /** What is known of requests that stop backend servers, to be exchanged with other nodes. */
     val crashes: CrashRegister = CrashRegister(clock, decisions)
 
     private val limits = settings.limits
+
+    /** Whether the platform's list names the backend server apart from its instance, so that only the list tells which one runs here. */
+    private val namesOwnServer = headers.expectedServer != null
     private val place = FleetPlace(settings.dataCentre, settings.service, settings.instance)
-    private val backendServer = BackendServerClient(resources.httpClient, settings.backendServer, limits.maximumAnswerBytes)
+    private val serverConnections =
+        HttpConnections(settings.backendServer, resources.selector, clock, ConnectionLimits(maximumBodyBytes = limits.maximumAnswerBytes))
+    private val backendServer = BackendServerClient(serverConnections, settings.backendServer, headers)
     private val guard = Guard(settings.instance, incarnation.start, backendServer, crashes, clock, random, decisions)
     private val maximumFrameBytes = maxOf(limits.maximumBodyBytes, limits.maximumAnswerBytes) + limits.maximumHeaderBytes * 2
     private val frameServer = FrameServer(settings.addresses.frames, resources.selector, guard, incarnation.start, clock, maximumFrameBytes)
@@ -47,8 +59,22 @@
     private val distances = DataCentreDistances(settings.dataCentre, settings.control.interDataCentreMicroseconds.microseconds)
     private val selection = EndpointSelection(distances, random)
     private val proxy =
-        CallProxy(settings.instance, routing, guard, frameClient, selection, crashes, clock, random, metrics, decisions, awaitFreshView)
-    private val callers = CallerEndpoint(proxy, clock, limits)
+        CallProxy(
+            settings.addresses.frames,
+            headers,
+            routing,
+            guard,
+            frameClient,
+            selection,
+            crashes,
+            clock,
+            random,
+            metrics,
+            decisions,
+            awaitFreshView,
+        )
+    private val callers = CallerEndpoint(proxy, clock, headers, settings.service)
+    private val listener = HttpListener(settings.addresses.callers, resources.selector, ::callerLimits, callers)
 
     /** The guard's load; that of a guard that takes nothing before a configuration with this node's service is in force. */
     val load: GuardLoad get() = guard.load() ?: NO_LOAD
@@ -59,14 +85,12 @@
     /** How many answers came from other nodes that no call waited for. */
     val strayAnswers: Long get() = frameClient.strayAnswers.get()
 
-    /** Answers a call of a caller. */
-    suspend fun answer(call: ApplicationCall): Unit = callers.answer(call)
-
-    /** Takes calls from other nodes and follows changes of the configuration and the view. */
+    /** Takes calls from callers and other nodes, and follows changes of the configuration and the view. */
     suspend fun start() {
         routing.onChange(::takeChange)
         scope.launch { guard.runTicks() }
         frameServer.start(scope)
+        listener.start(scope)
     }
 
     /** The backend server has started anew, so its share of calls rises slowly. */
@@ -78,6 +102,7 @@
     /** Refuses new calls of callers, and waits until none is in flight or the drain limit has passed. */
     suspend fun finish() {
         callers.refuseNewCalls()
+        listener.closeAfterAnswers()
         withTimeoutOrNull(drainLimit()) {
             while (inFlight > 0) delay(DRAIN_POLL)
         }
@@ -85,17 +110,37 @@
 
     /** Closes all connections between nodes. */
     fun close() {
+        listener.stop()
         frameServer.stop()
         frameClient.stop()
+        serverConnections.closeKept()
     }
 
     private fun takeChange(current: RoutingState.Current) {
         selection.takeView(current.view, clock.now())
         frameClient.retainOnly(current.view.members.mapTo(HashSet()) { it.frameAddress })
-        val snapshot = current.snapshot ?: return
-        val service = snapshot.service(settings.service) ?: return
+        val server = current.view.members.firstOrNull { it.serverAddress == settings.backendServer && it.state != MemberState.DEAD }
+        usePolicy(current.snapshot, server)
+        if (namesOwnServer) guard.serve(server?.instance)
+        if (server?.state == MemberState.LEAVING) guard.drain()
+    }
+
+    private fun usePolicy(
+        snapshot: ConfigurationSnapshot?,
+        server: Member?,
+    ) {
+        val service = snapshot?.service(server?.service ?: settings.service) ?: return
         val effective = snapshot.effectiveSettings(place)
-        guard.usePolicy(AdmissionPolicy.of(snapshot, effective, service), effective.quarantineMilliseconds.milliseconds)
+        val policy = AdmissionPolicy.of(snapshot, effective, service, server?.slots)
+        guard.usePolicy(policy, effective.quarantineMilliseconds.milliseconds)
+    }
+
+    private fun callerLimits(): CallerLimits {
+        val configured = routing.current.snapshot?.document?.callers ?: CallerLimits()
+        return configured.copy(
+            maximumHeaderBytes = minOf(configured.maximumHeaderBytes, limits.maximumHeaderBytes),
+            maximumBodyBytes = minOf(configured.maximumBodyBytes, limits.maximumBodyBytes),
+        )
     }
 
     private fun drainLimit(): Duration {
--- a/node/src/main/kotlin/org/celeryusher/node/call/HeaderField.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CeleryusherHeaders.kt
@@ -1,14 +1,5 @@
 package org.celeryusher.node.call
 
-import kotlinx.serialization.Serializable
-
-/** One HTTP header field. */
-@Serializable
-public data class HeaderField(
-    public val name: String,
-    public val value: String,
-)
-
 /** The headers that celeryusher itself reads or writes. */
 public object CeleryusherHeaders {
     /** Time left until the deadline, in milliseconds; request. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -10,7 +10,9 @@
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptReference
 import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.node.http.HeaderField
 
 /** One message on a connection that carries calls between nodes. Answers are matched to requests by [exchange]. */
 @Serializable
@@ -43,6 +45,11 @@
         public val body: ByteArray,
         @SerialName("k") public val ticket: String? = null,
         @SerialName("s") public val suspected: Boolean = false,
+        /** The backend server that the proxy has chosen; another one at the same address must not run the call. */
+        @SerialName("v") public val server: InstanceName? = null,
+        /** How long the answer has its full worth, counted from the arrival of this frame; null when that time has passed already. */
+        @SerialName("f") public val targetMilliseconds: Long? = null,
+        @SerialName("o") public val host: String = "",
     ) : Frame
 
     /** The whole answer of a backend server. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
@@ -5,7 +5,9 @@
 import org.celeryusher.kernel.execution.AttemptId
 import org.celeryusher.kernel.execution.DeadlineBudget
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.runtime.ProcessClock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -25,6 +27,10 @@
     /** The life of the guard's node that the ticket names; another life is not called. */
     val ticketLife: Long?,
     val suspected: Boolean,
+    /** The backend server that was chosen. */
+    val server: InstanceName,
+    /** Until when the answer has its full worth. */
+    val targetEnd: Moment,
 )
 
 /** Sends calls to the guards of other instances over one kept connection for each. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -15,6 +15,7 @@
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Takes calls from other nodes and hands them to the guard. */
 internal class FrameServer(
@@ -107,8 +108,19 @@
         running: ConcurrentHashMap<Long, Job>,
         scope: CoroutineScope,
     ) {
-        val request = CallRequest(frame.method, frame.target, frame.headers, frame.body, clock.now())
-        val call = GuardCall(frame.reference, frame.route, frame.rankPosition, frame.idempotent, request, frame.ticket, frame.suspected)
+        val now = clock.now()
+        val call =
+            GuardCall(
+                reference = frame.reference,
+                route = frame.route,
+                rankPosition = frame.rankPosition,
+                idempotent = frame.idempotent,
+                request = CallRequest(frame.method, frame.target, frame.headers, frame.body, now, frame.host),
+                ticket = frame.ticket,
+                suspected = frame.suspected,
+                server = frame.server,
+                targetEnd = frame.targetMilliseconds?.let { now + it.milliseconds },
+            )
         val job = scope.launch(start = CoroutineStart.LAZY) { connection.sendWaiting(answerOf(frame.exchange, guard.run(call))) }
         running[frame.exchange] = job
         job.invokeOnCompletion { running.remove(frame.exchange) }
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -128,6 +128,9 @@
             body = call.request.body,
             ticket = call.ticket,
             suspected = call.suspected,
+            server = call.server,
+            targetMilliseconds = (call.targetEnd - clock.now() - call.oneWay * 2).inWholeMilliseconds.takeIf { it > 0 },
+            host = call.request.host,
         )
 
     private fun replyOf(
@@ -236,7 +239,7 @@
 
     private companion object {
         val CONNECT_TIMEOUT = 500.milliseconds
-        val ANSWER_GRACE = 50.milliseconds
+        val ANSWER_GRACE = 80.milliseconds
         val CLOCK_READING_AGE = 30.seconds
         const val CONTROL_PATIENCE_MILLISECONDS = 500L
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardTickets.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardTickets.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.call
 
 import arrow.core.Either
+import kotlin.random.Random
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.Outcome
 import org.celeryusher.kernel.execution.RequestFingerprint
@@ -12,7 +13,7 @@
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RouteName
-import kotlin.random.Random
+import org.celeryusher.node.http.HeaderField
 
 /** What a guard does with the ticket of an attempt. */
 internal sealed interface TicketStep {
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
@@ -39,7 +39,7 @@
     extras: GossipExtras,
     private val tuning: ControlTuning,
     decisions: DecisionLog = DecisionLog(settings.instance, clock),
-) {
+) : FleetControl {
     /** Creates the control plane of the node that [settings] describe, in its life [incarnation]. */
     public constructor(
         settings: NodeSettings,
@@ -65,10 +65,10 @@
     private val isAlone = settings.control.readsPlatformAlone
 
     /** Whether new work must wait because this node has just started or woken up, and has not heard from enough others since. */
-    public val needsRefresh: Boolean get() = !isAlone && state.needsRefresh
+    override val needsRefresh: Boolean get() = !isAlone && state.needsRefresh
 
     /** Begins to take part in the fleet, until [stop] or the end of [scope]. The control address must be listened at already. */
-    public suspend fun start(scope: CoroutineScope) {
+    override suspend fun start(scope: CoroutineScope) {
         scope.coroutineContext[Job]?.invokeOnCompletion { job.cancel() }
         if (isAlone) {
             this.scope.launch { LonePlatformReader(platform, routing, settings.control).run() }
@@ -82,26 +82,29 @@
     public suspend fun answer(call: ApplicationCall): Unit = endpoint.answer(call)
 
     /** Tells peers that this node leaves, so that within seconds nobody places new work here; returns when the first of them know. */
-    public suspend fun leave() {
+    override suspend fun leave() {
         if (!isAlone) deliver(state.leave("a planned stop"))
     }
 
     /** Tells peers that this node is gone, and ends all control work. */
-    public suspend fun stop() {
+    override suspend fun stop() {
         if (!isAlone) deliver(state.stopping())
         job.cancelAndJoin()
     }
 
     /** Takes in what the backend server beside this node is in; one that drains makes this node a leaver. */
-    public fun backendServerState(serverState: BackendServerState) {
+    override fun backendServerState(serverState: BackendServerState) {
         when (serverState) {
             BackendServerState.DRAINING -> if (!isAlone) exchanges.start(state.leave("the backend server drains"))
             BackendServerState.STARTING, BackendServerState.READY, BackendServerState.DEAD -> Unit
         }
     }
 
+    /** Returns what is known now. */
+    public fun status(): ControlStatus = status(clock.now())
+
     /** Returns what is known at [now]. */
-    public fun status(now: Moment = clock.now()): ControlStatus = state.status(traffic.counts(), now)
+    override fun status(now: Moment): ControlStatus = state.status(traffic.counts(), now)
 
     private suspend fun deliver(announcements: List<ControlAction>) {
         withTimeoutOrNull(ANNOUNCEMENT_LIMIT) { exchanges.start(announcements).joinAll() }
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpMessages.kt
@@ -0,0 +1,84 @@
+package org.celeryusher.node.http
+
+/** A whole request, as a listener read it or as a client sends it. */
+internal class HttpRequest(
+    val method: String,
+    val target: String,
+    /** The header fields as they were received; for a request to be sent, those besides the host and the length of the body. */
+    val headers: List<HeaderField>,
+    val body: ByteArray,
+    val host: String,
+)
+
+/** A whole answer. */
+internal class HttpResponse(
+    val status: Int,
+    val headers: List<HeaderField>,
+    val body: ByteArray,
+)
+
+/** Writes whole messages with their length, in one go. */
+internal object HttpWriter {
+    private val reasons =
+        mapOf(
+            200 to "OK",
+            201 to "Created",
+            400 to "Bad Request",
+            404 to "Not Found",
+            408 to "Request Timeout",
+            413 to "Content Too Large",
+            429 to "Too Many Requests",
+            431 to "Request Header Fields Too Large",
+            500 to "Internal Server Error",
+            502 to "Bad Gateway",
+            503 to "Service Unavailable",
+            504 to "Gateway Timeout",
+        )
+
+    /** Returns the bytes of [request]. */
+    fun encode(request: HttpRequest): ByteArray {
+        val head =
+            buildString(EXPECTED_HEAD_CHARACTERS) {
+                append(request.method).append(' ').append(request.target).append(" HTTP/1.1\r\nHost: ").append(request.host).append("\r\n")
+                appendFields(request.headers)
+                if (request.body.isNotEmpty() || request.method in METHODS_WITH_BODY) appendLength(request.body.size)
+                append("\r\n")
+            }
+        return head.toByteArray(Charsets.ISO_8859_1) + request.body
+    }
+
+    /**
+     * Returns the bytes of the answer [response] to a request with [method]; the answer to `HEAD` has no body.
+     *
+     * The answer says whether the connection stays open.
+     */
+    fun encode(
+        response: HttpResponse,
+        method: String,
+        keepsConnection: Boolean,
+    ): ByteArray {
+        val head =
+            buildString(EXPECTED_HEAD_CHARACTERS) {
+                append("HTTP/1.1 ").append(response.status).append(' ').append(reasons[response.status].orEmpty()).append("\r\n")
+                appendFields(response.headers)
+                if (!keepsConnection) append("Connection: close\r\n")
+                if (response.status != NO_CONTENT && response.status != NOT_MODIFIED && method != "HEAD") appendLength(response.body.size)
+                append("\r\n")
+            }
+        val bytes = head.toByteArray(Charsets.ISO_8859_1)
+        return if (method == "HEAD") bytes else bytes + response.body
+    }
+
+    private fun StringBuilder.appendFields(fields: List<HeaderField>) {
+        for (field in fields) append(field.name).append(": ").append(field.value).append("\r\n")
+    }
+
+    private fun StringBuilder.appendLength(bytes: Int) {
+        append("Content-Length: ").append(bytes).append("\r\n")
+    }
+
+    private const val EXPECTED_HEAD_CHARACTERS = 512
+    private const val NO_CONTENT = 204
+    private const val NOT_MODIFIED = 304
+    private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
@@ -0,0 +1,228 @@
+package org.celeryusher.node.http
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeFully
+import java.io.EOFException
+import java.io.IOException
+
+/** A message that is larger than its receiver allows. */
+internal class MessageTooLargeException(
+    message: String,
+) : IOException(message)
+
+/**
+ * A TCP connection that carries HTTP/1.1 messages.
+ *
+ * Bytes that were received and not consumed stay in a buffer, so that whoever owns the connection can tell whether anything follows a
+ * message. One coroutine may read while another writes.
+ */
+internal class HttpStream(
+    private val socket: Socket,
+) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private var buffer = ByteArray(INITIAL_BUFFER_BYTES)
+    private var start = 0
+    private var end = 0
+
+    /** How many received bytes are not consumed yet. */
+    val bufferedBytes: Int get() = end - start
+
+    /** Whether nothing was received beyond what was consumed and the peer has not closed, as far as this process was told. */
+    val isQuiet: Boolean get() = bufferedBytes == 0 && input.availableForRead == 0 && !input.isClosedForRead
+
+    /** Closes the connection. */
+    fun close() {
+        socket.close()
+    }
+
+    /**
+     * Waits for more bytes; returns false at the end of the stream.
+     *
+     * @throws IOException when the connection was reset.
+     */
+    suspend fun fill(): Boolean {
+        makeRoom()
+        val count = input.readAvailable(buffer, end, buffer.size - end)
+        if (count < 0) {
+            input.closedCause?.let { throw IOException("the connection was reset", it) }
+            return false
+        }
+        end += count
+        return true
+    }
+
+    /**
+     * Returns the text of a message head without the empty line that ends it, or null when the stream ends before its first byte.
+     *
+     * Empty lines before the head are skipped, as RFC 9112 recommends.
+     */
+    suspend fun readHead(maximumBytes: Int): String? {
+        var scanned = 0
+        while (true) {
+            skipEmptyLines()
+            val length = headLength(scanned)
+            if (length >= 0) return takeHead(length, maximumBytes)
+            if (bufferedBytes > maximumBytes) throw MessageTooLargeException("the head has more than $maximumBytes bytes")
+            scanned = (bufferedBytes - HEAD_END_BYTES + 1).coerceAtLeast(0)
+            if (!fill()) {
+                if (bufferedBytes == 0) return null
+                throw EOFException("the stream ended within a message head")
+            }
+        }
+    }
+
+    /** Returns the whole body that [framing] announces. */
+    suspend fun readBody(
+        framing: BodyFraming,
+        maximumBytes: Int,
+    ): ByteArray =
+        when (framing) {
+            is BodyFraming.Length -> {
+                if (framing.bytes > maximumBytes) throw MessageTooLargeException("the body has ${framing.bytes} bytes, more than $maximumBytes")
+                readExactly(framing.bytes.toInt())
+            }
+
+            is BodyFraming.Chunked -> {
+                readChunks(maximumBytes)
+            }
+
+            is BodyFraming.UntilClose -> {
+                readToEnd(maximumBytes)
+            }
+        }
+
+    /** Drops the received bytes that are not consumed, and returns how many they were. */
+    fun discardBuffered(): Int = bufferedBytes.also { start = end }
+
+    /** Writes [bytes] without flushing. */
+    suspend fun write(bytes: ByteArray) {
+        output.writeFully(bytes)
+    }
+
+    /** Sends what was written. */
+    suspend fun flush() {
+        output.flush()
+    }
+
+    private suspend fun readExactly(count: Int): ByteArray {
+        if (count == 0) return NO_BYTES
+        val result = ByteArray(count)
+        var filled = takeInto(result, 0)
+        while (filled < count) {
+            if (bufferedBytes == 0 && !fill()) throw EOFException("the stream ended after $filled of $count body bytes")
+            filled += takeInto(result, filled)
+        }
+        return result
+    }
+
+    private suspend fun readChunks(maximumBytes: Int): ByteArray {
+        var body = NO_BYTES
+        while (true) {
+            val size = chunkSize(readLine())
+            if (size > maximumBytes - body.size) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
+            if (size == 0) break
+            body += readExactly(size)
+            if (readLine().isNotEmpty()) throw MalformedMessageException("a chunk is longer than its size")
+        }
+        while (readLine().isNotEmpty()) continue
+        return body
+    }
+
+    private fun chunkSize(line: String): Int {
+        val digits = line.substringBefore(';').trim()
+        if (digits.length !in 1..LONGEST_CHUNK_SIZE_DIGITS) throw MalformedMessageException("a chunk size is not a number")
+        return digits.toIntOrNull(HEXADECIMAL)?.takeIf { it >= 0 && digits[0] != '+' } ?: throw MalformedMessageException("a chunk size is not a number")
+    }
+
+    private suspend fun readLine(): String {
+        var scanned = 0
+        while (true) {
+            val feed = (start + scanned until end).firstOrNull { buffer[it] == LINE_FEED }
+            if (feed != null) {
+                if (feed == start || buffer[feed - 1] != CARRIAGE_RETURN) throw MalformedMessageException("a line ends without a carriage return")
+                val line = String(buffer, start, feed - 1 - start, Charsets.ISO_8859_1)
+                start = feed + 1
+                return line
+            }
+            if (bufferedBytes > LONGEST_CHUNK_LINE_BYTES) throw MalformedMessageException("a chunk line is too long")
+            scanned = bufferedBytes
+            if (!fill()) throw EOFException("the stream ended within a chunked body")
+        }
+    }
+
+    private suspend fun readToEnd(maximumBytes: Int): ByteArray {
+        while (fill()) {
+            if (bufferedBytes > maximumBytes) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
+        }
+        return buffer.copyOfRange(start, end).also { start = end }
+    }
+
+    private fun takeInto(
+        target: ByteArray,
+        offset: Int,
+    ): Int {
+        val count = minOf(bufferedBytes, target.size - offset)
+        buffer.copyInto(target, offset, start, start + count)
+        start += count
+        return count
+    }
+
+    private fun skipEmptyLines() {
+        while (bufferedBytes >= 2 && buffer[start] == CARRIAGE_RETURN && buffer[start + 1] == LINE_FEED) start += 2
+    }
+
+    /** Returns the length of the head without its end, looking from [scanned] bytes on, or -1 when its end has not come. */
+    private fun headLength(scanned: Int): Int {
+        for (index in start + scanned..end - HEAD_END_BYTES) {
+            val isEnd =
+                buffer[index] == CARRIAGE_RETURN && buffer[index + 1] == LINE_FEED &&
+                    buffer[index + 2] == CARRIAGE_RETURN && buffer[index + 3] == LINE_FEED
+            if (isEnd) return index - start
+        }
+        return -1
+    }
+
+    private fun takeHead(
+        length: Int,
+        maximumBytes: Int,
+    ): String {
+        if (length > maximumBytes) throw MessageTooLargeException("the head has $length bytes, more than $maximumBytes")
+        val text = String(buffer, start, length, Charsets.ISO_8859_1)
+        start += length + HEAD_END_BYTES
+        return text
+    }
+
+    private fun makeRoom() {
+        if (start == end) {
+            start = 0
+            end = 0
+            if (buffer.size > LARGEST_KEPT_BUFFER_BYTES) buffer = ByteArray(INITIAL_BUFFER_BYTES)
+        }
+        if (end < buffer.size) return
+        if (start > 0) {
+            buffer.copyInto(buffer, 0, start, end)
+            end -= start
+            start = 0
+        }
+        if (end == buffer.size) buffer = buffer.copyOf(buffer.size * 2)
+    }
+
+    private companion object {
+        const val INITIAL_BUFFER_BYTES = 4_096
+
+        // Bounds what an idle connection keeps after a large message.
+        const val LARGEST_KEPT_BUFFER_BYTES = 65_536
+        const val LONGEST_CHUNK_LINE_BYTES = 4_096
+        const val LONGEST_CHUNK_SIZE_DIGITS = 8
+        const val HEXADECIMAL = 16
+        const val HEAD_END_BYTES = 4
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val LINE_FEED = '\n'.code.toByte()
+        val NO_BYTES = ByteArray(0)
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -7,18 +7,29 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.node.admin.AdminPages
 import org.celeryusher.node.admin.StatusReporter
 import org.celeryusher.node.admin.statusProviders
 import org.celeryusher.node.call.BackendServerHealth
+import org.celeryusher.node.call.CallHeaders
 import org.celeryusher.node.call.CallSide
 import org.celeryusher.node.control.BackendServerState
 import org.celeryusher.node.control.ControlPlane
+import org.celeryusher.node.control.FleetControl
+import org.celeryusher.node.http.ConnectionLimits
+import org.celeryusher.node.http.HttpConnections
+import org.celeryusher.node.http.HttpListener
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.settings.NodeSettings
+import org.celeryusher.node.source.DocumentDefaults
+import org.celeryusher.node.source.HttpPlatformTransport
+import org.celeryusher.node.source.PlatformAdapter
+import org.celeryusher.node.source.PlatformAdapters
+import org.celeryusher.node.source.SourceControl
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -43,13 +54,13 @@
     private val decisions = DecisionLog(settings.instance, clock)
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
-    private val calls = CallSide(settings, incarnation, routing, resources, scope, clock, random, metrics, decisions, ::awaitFreshView)
-    private val healthInterval = settings.control.healthIntervalMilliseconds.milliseconds
-    private val health = BackendServerHealth(resources.httpClient, settings.backendServer, healthInterval, ::serverChanged)
+    private val adapter = settings.platformAdapter?.let(PlatformAdapters::named)
+    private val headers = adapter?.headers ?: CallHeaders()
+    private val calls =
+        CallSide(settings, incarnation, routing, resources, scope, clock, random, metrics, decisions, headers, ::awaitFreshView)
 
     /** Keeps configuration and membership up to date. */
-    public val control: ControlPlane =
-        ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes, decisions)
+    public val control: FleetControl = if (adapter == null) controlPlane(resources, random) else sourceControl(adapter, resources, random)
 
     @Volatile
     private var isStopping = false
@@ -61,24 +72,26 @@
             stopping { isStopping }
         }
     private val reporter = StatusReporter(place, { incarnation }, clock.now(), routing, metrics, decisions, statusProviders)
-    private val admin = AdminPages(place, reporter, metrics, clock)
-    private val http =
-        NodeHttpServer(
-            listOf(
-                HttpAddress(settings.addresses.callers, calls::answer),
-                HttpAddress(settings.addresses.control, control::answer),
-                HttpAddress(settings.addresses.admin, admin::answer),
-            ),
-        )
+    private val pages = AdminPages(place, reporter, metrics, clock)
+    private val admin = HttpListener(settings.addresses.admin, resources.selector, ::CallerLimits, pages)
+    private val controlServer = (control as? ControlPlane)?.let { NodeHttpServer(listOf(HttpAddress(settings.addresses.control, it::answer))) }
+    private val health =
+        if (adapter == null) {
+            val interval = settings.control.healthIntervalMilliseconds.milliseconds
+            BackendServerHealth(resources.httpClient, settings.backendServer, interval, ::serverChanged)
+        } else {
+            null
+        }
 
     /** Listens at all addresses and begins to take part in the fleet. */
     public suspend fun start() {
         observe()
         calls.start()
-        http.start()
-        scope.launch { health.run() }
+        admin.start(scope)
+        controlServer?.start()
+        if (health != null) scope.launch { health.run() }
         control.start(scope)
-        if (settings.fleetSecret == null) logger.warn { "no fleet secret is set: control messages between nodes are not signed" }
+        if (controlServer != null && settings.fleetSecret == null) logger.warn { "no fleet secret is set: control messages between nodes are not signed" }
     }
 
     /**
@@ -98,12 +111,30 @@
     /** Ends at once as a killed process would: tells nobody, waits for nothing. */
     public suspend fun halt() {
         calls.close()
-        http.stop()
+        admin.stop()
+        controlServer?.stop()
         job.cancelAndJoin()
     }
 
+    private fun controlPlane(
+        resources: SharedResources,
+        random: Random,
+    ): FleetControl = ControlPlane(settings, incarnation, routing, resources.httpClient, clock, random, calls.crashes, decisions)
+
+    private fun sourceControl(
+        adapter: PlatformAdapter,
+        resources: SharedResources,
+        random: Random,
+    ): FleetControl {
+        val limits = ConnectionLimits(maximumBodyBytes = settings.limits.maximumMessageBytes)
+        val connections = HttpConnections(settings.platform, resources.selector, clock, limits)
+        val defaults = DocumentDefaults(settings.fleetDefaults, settings.guaranteedShare)
+        val reader = adapter.reader(HttpPlatformTransport(connections, settings.platform), defaults)
+        return SourceControl(settings, incarnation, routing, reader, clock, random, decisions)
+    }
+
     private fun observe() {
-        metrics.observeControl { control.status() }
+        metrics.observeControl { control.status(clock.now()) }
         metrics.observeGuard { calls.load }
         metrics.observeQuarantine { calls.crashes.news(clock.now()).size }
         routing.onChange { current -> current.snapshot?.let(metrics::configurationTaken) }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/SharedResources.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/SharedResources.kt
@@ -14,9 +14,11 @@
     /** Selects over all frame sockets. */
     public val selector: SelectorManager = SelectorManager(Dispatchers.IO)
 
-    /** The client towards backend servers, the platform and other nodes' control addresses. It never sends a request twice by itself. */
-    public val httpClient: HttpClient =
-        run {
+    /** The client towards the platform and other nodes' control addresses. It never sends a request twice by itself. */
+    public val httpClient: HttpClient get() = client.value
+
+    private val client =
+        lazy {
             System.setProperty(SEND_LIMIT_PROPERTY, "1")
             System.setProperty(KEEP_ALIVE_PROPERTY, KEEP_ALIVE_SECONDS.toString())
             HttpClient(Java) {
@@ -29,7 +31,7 @@
         }
 
     override fun close() {
-        httpClient.close()
+        if (client.isInitialized()) client.value.close()
         selector.close()
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.settings
 
 import kotlinx.serialization.Serializable
+import org.celeryusher.kernel.configuration.FleetSettings
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.DataCentreName
 import org.celeryusher.kernel.identity.InstanceName
@@ -30,6 +31,12 @@
     > = emptyList(),
     public val limits: NodeLimits = NodeLimits(),
     public val control: ControlSettings = ControlSettings(),
+    /** The adapter of the platform, by its name; null for a platform that speaks celeryusher's own interface. */
+    public val platformAdapter: String? = null,
+    /** What holds for the fleet where the platform's configuration does not say; used only with an adapter. */
+    public val fleetDefaults: FleetSettings = FleetSettings(),
+    /** The share of a backend server's slots that each rank keeps where the configuration does not say; used only with an adapter. */
+    public val guaranteedShare: Double = 0.0,
     /** A secret of at least 16 characters shared by all nodes of the fleet; without it control messages are not signed. */
     public val fleetSecret: String? = null,
 ) {
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.node.source.PlatformAdapters
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -54,7 +55,17 @@
     public fun print(settings: NodeSettings): String = format.encodeToString(NodeSettings.serializer(), settings.redacted())
 
     private fun faultsOf(settings: NodeSettings): List<SettingsFault> =
-        nameFaults(settings) + addressFaults(settings) + numberFaults(settings) + secretFaults(settings)
+        nameFaults(settings) + addressFaults(settings) + numberFaults(settings) + secretFaults(settings) + adapterFaults(settings)
+
+    private fun adapterFaults(settings: NodeSettings): List<SettingsFault> {
+        val share = settings.guaranteedShare
+        val shareFault = SettingsFault("$.guaranteedShare", "$share does not lie from 0 to 1").takeIf { share !in 0.0..1.0 }
+        val adapter = settings.platformAdapter
+        val known = PlatformAdapters.names
+        val adapterFault =
+            if (adapter == null || adapter in known) null else SettingsFault("$.platformAdapter", "\"$adapter\" is none of ${known.joinToString()}")
+        return listOfNotNull(shareFault, adapterFault)
+    }
 
     private fun nameFaults(settings: NodeSettings): List<SettingsFault> =
         listOf("instance" to settings.instance.value, "service" to settings.service.value, "dataCentre" to settings.dataCentre.value)
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
@@ -0,0 +1,32 @@
+package org.celeryusher.node.source
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.node.http.ExchangeResult
+import org.celeryusher.node.http.HttpConnections
+import org.celeryusher.node.http.HttpRequest
+import org.celeryusher.node.http.value
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls a platform at [address] over kept connections; one on which an answer is overdue is closed and not used again. */
+internal class HttpPlatformTransport(
+    private val connections: HttpConnections,
+    private val address: Address,
+) : PlatformTransport {
+    override suspend fun get(
+        target: String,
+        timeout: Duration,
+    ): PlatformCall {
+        val request = HttpRequest("GET", target, emptyList(), ByteArray(0), address.toString())
+        return when (val result = withTimeoutOrNull(timeout) { connections.exchange(request) }) {
+            null -> PlatformCall.Failed("no answer within $timeout")
+            is ExchangeResult.Answered -> {
+                val retryAfter = result.response.headers.value("Retry-After")?.toDoubleOrNull()?.seconds
+                PlatformCall.Answered(result.response.status, result.response.body, retryAfter ?: Duration.ZERO)
+            }
+            is ExchangeResult.NotConnected -> PlatformCall.Failed(result.detail)
+            is ExchangeResult.Broken -> PlatformCall.Failed(result.detail)
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceControl.kt
@@ -0,0 +1,116 @@
+package org.celeryusher.node.source
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.control.BackendServerState
+import org.celeryusher.node.control.ControlStatus
+import org.celeryusher.node.control.ControlTraffic
+import org.celeryusher.node.control.FleetControl
+import org.celeryusher.node.control.MemberStatus
+import org.celeryusher.node.control.SourceStatus
+import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.runtime.ProcessClock
+import org.celeryusher.node.runtime.RoutingState
+import org.celeryusher.node.settings.NodeSettings
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Takes configuration and backend servers from the platform through a [PlatformReader], with a watch of this node's own.
+ *
+ * This pays in small fleets, where all watches together stay far below what the platform serves. In a large fleet the few readers of
+ * [org.celeryusher.node.control.ControlPlane] take over; docs/decisions/platform.md says from which size on.
+ */
+internal class SourceControl(
+    private val settings: NodeSettings,
+    private val incarnation: Incarnation,
+    private val routing: RoutingState,
+    reader: PlatformReader,
+    private val clock: ProcessClock,
+    random: Random,
+    decisions: DecisionLog,
+) : FleetControl {
+    private val job = SupervisorJob()
+    private val scope = CoroutineScope(job + Dispatchers.Default)
+    private val configuration = ConfigurationFollower(settings, reader, routing, clock, random, decisions)
+    private val servers = ServerListFollower(settings, reader, routing, clock, random, decisions)
+
+    @Volatile
+    private var lastTick = clock.now()
+
+    @Volatile
+    private var refreshUntil = Moment.DISTANT_PAST
+
+    override val needsRefresh: Boolean
+        get() {
+            val now = clock.now()
+            return (now < refreshUntil && servers.lastAnswer < refreshUntil - REFRESH_LIMIT) || now - lastTick > TICK_INTERVAL + PAUSE_THRESHOLD
+        }
+
+    override suspend fun start(scope: CoroutineScope) {
+        scope.coroutineContext[Job]?.invokeOnCompletion { job.cancel() }
+        lastTick = clock.now()
+        this.scope.launch { configuration.run() }
+        this.scope.launch { servers.run() }
+        this.scope.launch { watchForPauses() }
+    }
+
+    override suspend fun leave(): Unit = Unit
+
+    override suspend fun stop(): Unit = job.cancelAndJoin()
+
+    override fun backendServerState(serverState: BackendServerState): Unit = Unit
+
+    override fun status(now: Moment): ControlStatus =
+        ControlStatus(
+            instance = settings.instance,
+            incarnation = incarnation,
+            configuration = configuration.status(now),
+            floor = null,
+            refused = configuration.refused(now),
+            conflicts = configuration.conflicts(),
+            configurationSource = SourceStatus(configuration.age(now)?.inWholeMilliseconds, readerPosition = 0),
+            instancesSource = SourceStatus(servers.age(now)?.inWholeMilliseconds, readerPosition = 0),
+            instancesRevision = servers.revision,
+            members = routing.current.view.members.map { MemberStatus(it.instance, it.service, it.dataCentre, it.state, it.incarnation) },
+            isLeaving = false,
+            needsRefresh = needsRefresh,
+            healthMultiplier = 1,
+            traffic = ControlTraffic().counts(),
+        )
+
+    // A process that stood still goes on with what it believed before; the list is read before new work is placed by it.
+    private suspend fun watchForPauses() {
+        while (true) {
+            delay(TICK_INTERVAL)
+            val now = clock.now()
+            val late = now - lastTick - TICK_INTERVAL
+            lastTick = now
+            if (late > PAUSE_THRESHOLD) {
+                logger.warn { "this process stood still for $late; the list of backend servers is read anew" }
+                refreshUntil = now + REFRESH_LIMIT
+                servers.readSoon()
+                configuration.readSoon()
+            }
+        }
+    }
+
+    private companion object {
+        val TICK_INTERVAL = 250.milliseconds
+
+        /** Longer than the scheduler of a busy instance holds a process up. */
+        val PAUSE_THRESHOLD = 750.milliseconds
+
+        /** How long new work waits for a fresh list at most; a caller's target latency is of this order. */
+        val REFRESH_LIMIT = 250.milliseconds
+        val logger = KotlinLogging.logger {}
+    }
+}
