--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
@@ -100,10 +100,8 @@
         }
     }
 
-    /** Returns what is known now. */
-    public fun status(): ControlStatus = status(clock.now())
+    override fun status(): ControlStatus = status(clock.now())
 
-    /** Returns what is known at [now]. */
     override fun status(now: Moment): ControlStatus = state.status(traffic.counts(), now)
 
     private suspend fun deliver(announcements: List<ControlAction>) {
--- a/node/src/main/kotlin/org/celeryusher/node/control/FleetControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/FleetControl.kt
@@ -20,6 +20,9 @@
     /** Takes in what the backend server beside this node is in. */
     public fun backendServerState(serverState: BackendServerState)
 
+    /** Returns what is known now. */
+    public fun status(): ControlStatus
+
     /** Returns what is known at [now]. */
     public fun status(now: Moment): ControlStatus
 }
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceControl.kt
@@ -69,6 +69,8 @@
 
     override fun backendServerState(serverState: BackendServerState): Unit = Unit
 
+    override fun status(): ControlStatus = status(clock.now())
+
     override fun status(now: Moment): ControlStatus =
         ControlStatus(
             instance = settings.instance,
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/command/RehearseCommand.kt
@@ -0,0 +1,63 @@
+package org.celeryusher.standin.command
+
+import org.celeryusher.node.command.Command
+import org.celeryusher.node.command.CommandOutput
+import org.celeryusher.node.command.ExitStatus
+import org.celeryusher.standin.store.FleetRoute
+import org.celeryusher.standin.store.ServerAnswer
+import org.celeryusher.standin.store.StoreFleet
+import java.io.DataInputStream
+import java.net.Socket
+
+/**
+ * Sends some calls through two nodes in this process and ends, so that the JVM can record which classes a node loads.
+ *
+ * The build runs it with `-XX:ArchiveClassesAtExit`; a node that starts from the archive listens three times sooner.
+ */
+public class RehearseCommand : Command {
+    override val name: String get() = "rehearse"
+    override val summary: String get() = "Runs a few calls through two nodes, for the build's archive of classes."
+
+    override fun run(
+        arguments: List<String>,
+        output: CommandOutput,
+    ): ExitStatus {
+        val answer = { _: Int, _: Any -> ServerAnswer.Run(bytes = ANSWER_BYTES) }
+        StoreFleet(listOf("desk", "hub"), answer).use { fleet ->
+            fleet.start {
+                list(0)
+                list(1)
+                publish(1, listOf(FleetRoute("/read/"), FleetRoute("/book/", kind = "unsafe", services = listOf("hub" to 1))))
+            }
+            repeat(CALLS) { call ->
+                val (method, path) = if (call % 2 == 0) "GET" to "/read/$call" else "POST" to "/book/$call"
+                send(fleet, call % 2, method, path)
+            }
+        }
+        output.error.println("celeryusher rehearse: $CALLS calls answered")
+        return ExitStatus.OK
+    }
+
+    private fun send(
+        fleet: StoreFleet,
+        index: Int,
+        method: String,
+        path: String,
+    ) {
+        val address = fleet.callersOf(index)
+        Socket(address.host, address.port).use { socket ->
+            val request =
+                "$method $path HTTP/1.1\r\nHost: fleet.example\r\nX-Celeryusher-Attempt-Id: ${path.hashCode()}\r\n" +
+                    "X-Celeryusher-Deadline-Ms: 2000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
+            socket.getOutputStream().write(request.encodeToByteArray())
+            val answer = DataInputStream(socket.getInputStream()).readBytes().decodeToString()
+            check(answer.startsWith("HTTP/1.1 200")) { "$method $path was answered ${answer.take(LINE_CHARACTERS)}" }
+        }
+    }
+
+    private companion object {
+        const val CALLS = 200
+        const val ANSWER_BYTES = 20_000
+        const val LINE_CHARACTERS = 200
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/celeryusher/standin/store/StoreFleet.kt
@@ -0,0 +1,195 @@
+package org.celeryusher.standin.store
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.DataCentreName
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.node.runtime.Node
+import org.celeryusher.node.settings.ControlSettings
+import org.celeryusher.node.settings.NodeAddresses
+import org.celeryusher.node.settings.NodeSettings
+import org.celeryusher.standin.http.HttpCall
+import java.net.ServerSocket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One route of a [StoreFleet]'s configuration. */
+public data class FleetRoute(
+    public val prefix: String,
+    public val kind: String = "safe",
+    public val services: List<Pair<String, Int>> = listOf("desk" to 1),
+    public val timeout: String = "2s",
+    public val targetLatency: String = "1s",
+    public val maximumAttempts: Int = 2,
+    public val priority: Int = 0,
+)
+
+/**
+ * Real nodes on loopback that run as they do on the users' platform: each on an IP number of its own, all on the same ports, each
+ * beside a [ListedServerStandIn], with one [MetadataStoreStandIn] that they read.
+ */
+public class StoreFleet(
+    private val services: List<String>,
+    answer: (index: Int, HttpCall) -> ServerAnswer = { _, _ -> ServerAnswer.Run() },
+) : AutoCloseable {
+    private val ports = List(PORTS_PER_NODE) { ServerSocket(0).use { it.localPort } }
+
+    /** The store that the nodes read. */
+    public val store: MetadataStoreStandIn = MetadataStoreStandIn()
+
+    /** The servers beside the nodes, by index. */
+    public val servers: List<ListedServerStandIn> = services.indices.map { index -> ListedServerStandIn("i-$index", hostOf(index)) { answer(index, it) } }
+
+    /** The nodes, by index. */
+    public val nodes: List<Node> = services.indices.map { Node(settingsOf(it)) }
+
+    /** Writes the entry of the server at [index]. */
+    public fun list(
+        index: Int,
+        state: String = "ready",
+        heartbeat: Int = 1,
+    ) {
+        val entry =
+            buildJsonObject {
+                put("address", "${servers[index].address}")
+                put("born", 1_000L)
+                putJsonObject("info") {
+                    put("service", services[index])
+                    put("version", "v1")
+                    put("zone", "zone-$index")
+                    put("slots", SLOTS)
+                }
+                putJsonObject("status") {
+                    put("state", state)
+                    put("sequence", heartbeat)
+                    put("cold_remaining", "0ms")
+                }
+            }
+        store.put("servers/${servers[index].name}", entry.toString().encodeToByteArray())
+    }
+
+    /** Publishes [routes] on the host `fleet.example` under [version]. */
+    public fun publish(
+        version: Int,
+        routes: List<FleetRoute>,
+    ): Unit = store.put("op/config", document(version, routes).toString().encodeToByteArray())
+
+    /** Starts all nodes after [prepare], and waits until each has a configuration and knows every server. */
+    public fun start(prepare: StoreFleet.() -> Unit): StoreFleet {
+        prepare()
+        runBlocking {
+            nodes.forEach { it.start() }
+            withTimeout(START_LIMIT) {
+                nodes.forEach { node ->
+                    while (node.routing.current.snapshot == null || node.routing.current.view.members.size < servers.size) delay(POLL)
+                }
+            }
+        }
+        return this
+    }
+
+    /** Returns where callers of the node at [index] call. */
+    public fun callersOf(index: Int): Address = Address(hostOf(index), ports[0])
+
+    /** Returns where operators of the node at [index] read. */
+    public fun adminOf(index: Int): Address = Address(hostOf(index), ports[ADMIN_PORT])
+
+    override fun close() {
+        runBlocking { nodes.forEach { it.halt() } }
+        servers.forEach(ListedServerStandIn::close)
+        store.close()
+    }
+
+    private fun document(
+        version: Int,
+        routes: List<FleetRoute>,
+    ): JsonObject =
+        buildJsonObject {
+            put("version", version.toString(HEXADECIMAL).padStart(VERSION_DIGITS, '0'))
+            put("limits", Json.parseToJsonElement(LIMITS))
+            putJsonArray("listeners") {
+                add(
+                    buildJsonObject {
+                        put("host", "fleet.example")
+                        putJsonArray("rules") { routes.forEachIndexed { index, route -> add(rule(index, route)) } }
+                    },
+                )
+            }
+            putJsonArray("clusters") {
+                for (service in services.distinct()) {
+                    add(
+                        buildJsonObject {
+                            put("name", service)
+                            put("health_path", "/healthz")
+                            put("max_connections", 130)
+                        },
+                    )
+                }
+            }
+        }
+
+    private fun rule(
+        index: Int,
+        route: FleetRoute,
+    ): JsonObject =
+        buildJsonObject {
+            put("name", "r-$index")
+            put("kind", route.kind)
+            put("target_latency", route.targetLatency)
+            put("priority", route.priority)
+            putJsonObject("match") { put("path_prefix", route.prefix) }
+            putJsonObject("action") {
+                if (route.services.size == 1) {
+                    put("service", route.services.single().first)
+                } else {
+                    putJsonArray("traffic_split") {
+                        for ((service, weight) in route.services) {
+                            add(
+                                buildJsonObject {
+                                    put("service", service)
+                                    put("weight", weight)
+                                },
+                            )
+                        }
+                    }
+                }
+                put("timeout", route.timeout)
+                put("max_attempts", route.maximumAttempts)
+            }
+        }
+
+    private fun settingsOf(index: Int): NodeSettings =
+        NodeSettings(
+            instance = InstanceName("node-$index"),
+            service = ServiceName(services[index]),
+            dataCentre = DataCentreName("zone-$index"),
+            addresses = hostOf(index).let { host -> ports.map { Address(host, it) } }.let { NodeAddresses(it[0], it[1], it[2], it[ADMIN_PORT]) },
+            backendServer = servers[index].address,
+            platform = store.address,
+            platformAdapter = "metadata-store",
+            control = ControlSettings(leaveNoticeMilliseconds = 200),
+        )
+
+    private fun hostOf(index: Int): String = "127.0.0.${index + 1}"
+
+    private companion object {
+        const val PORTS_PER_NODE = 4
+        const val ADMIN_PORT = 3
+        const val SLOTS = 6
+        const val HEXADECIMAL = 16
+        const val VERSION_DIGITS = 8
+        val START_LIMIT = 20.seconds
+        val POLL = 10.milliseconds
+        const val LIMITS = """{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}"""
+    }
+}
--- a/standin/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
+++ b/standin/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
@@ -1,3 +1,4 @@
 org.celeryusher.standin.command.StandInCommand
 org.celeryusher.standin.demo.DemoCommand
 org.celeryusher.standin.measure.MeasureCommand
+org.celeryusher.standin.command.RehearseCommand
