--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
@@ -1,16 +1,17 @@
 package org.celeryusher.kernel.admission
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** The exact load of one backend server as its guard knows it; travels on answers to proxies. */
+/** The exact load of one backend server as its guard knows it; travels on answers to proxies, so its names on the wire are short. */
 @Serializable
 public data class GuardLoad(
     /** How many calls may run at a time now: the declared slots, or fewer. */
-    public val limit: Int,
-    public val running: Int,
-    public val queued: Int,
+    @SerialName("m") public val limit: Int,
+    @SerialName("r") public val running: Int,
+    @SerialName("q") public val queued: Int,
     /** One entry for each rank, the most urgent first; empty while the guard drains. */
-    public val ranks: List<RankLoad>,
+    @SerialName("k") public val ranks: List<RankLoad>,
 ) {
     /** Returns whether the guard would queue or start a call of the rank at [rankPosition] that allows for the estimated wait. */
     public fun accepts(rankPosition: Int): Boolean = ranks.getOrElse(rankPosition) { ranks.lastOrNull() }?.accepting ?: false
@@ -20,9 +21,9 @@
 @Serializable
 public data class RankLoad(
     /** How long a call that arrives now would wait for its start. */
-    public val estimatedWaitMilliseconds: Long,
+    @SerialName("w") public val estimatedWaitMilliseconds: Long,
     /** Whether the queue has a place for the rank. */
-    public val accepting: Boolean,
+    @SerialName("a") public val accepting: Boolean,
     /** How long calls of the rank take on this server, by the latest of them; 0 when none was measured. */
-    public val serviceMilliseconds: Long = 0,
+    @SerialName("s") public val serviceMilliseconds: Long = 0,
 )
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/LoadNews.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/LoadNews.kt
@@ -45,10 +45,10 @@
     private fun isFull(load: GuardLoad): Boolean = load.running >= load.limit
 
     private companion object {
-        /** A wait that differs by less does not change a choice between data centres. */
-        const val WAIT_STEP = 10L
+        /** A wait that differs by less is no reason to choose another server at once. */
+        const val WAIT_STEP = 25L
 
         /** Proxies believe a count for about as long. */
-        val LONGEST_SILENCE_WHEN_FULL = 250.milliseconds
+        val LONGEST_SILENCE_WHEN_FULL = 500.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -169,8 +169,8 @@
     }
 
     private companion object {
-        /** About a tenth of the target latency of the most urgent work. */
-        val NEWS_INTERVAL = 25.milliseconds
+        /** Bounds the bytes between data centres to ten messages a second for each pair of nodes, and those only under load. */
+        val NEWS_INTERVAL = 100.milliseconds
 
         val logger = KotlinLogging.logger {}
     }
