--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -18,6 +18,7 @@
 import org.celeryusher.kernel.execution.Ticket
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.routing.EndpointChoice
 import org.celeryusher.kernel.routing.EntryDecision
@@ -58,11 +59,11 @@
     suspend fun run(request: CallRequest): ProxyAnswer {
         awaitFreshView()
         val current = routing.current
-        val table = current.table ?: return unrouted(ErrorKind.NO_CONFIGURATION)
+        val table = current.table ?: return unrouted(request, ErrorKind.NO_CONFIGURATION)
         val route = table.match(request.method, request.path, request.hostName)
         return when (val part = if (route is SplitRoute) route.draw(random) else route) {
-            null -> unrouted(ErrorKind.NO_ROUTE, "${request.method} ${request.host}${request.path}")
-            is HeldRoute -> unrouted(ErrorKind.NO_ENDPOINT, part.declaration.service.value)
+            null -> unrouted(request, ErrorKind.NO_ROUTE, "${request.method} ${request.host}${request.path}")
+            is HeldRoute -> unrouted(request, ErrorKind.NO_ENDPOINT, part.declaration.service.value)
             is ResolvedRoute -> runObserved(part, request, checkNotNull(current.snapshot))
             is SplitRoute -> error("a part of a split route is not split again")
         }
@@ -107,6 +108,7 @@
         snapshot: ConfigurationSnapshot,
     ): ProxyAnswer {
         val answer = runOn(route, request, snapshot)
+        logAnswer(request, answer.result, route.declaration.name)
         val kind = (answer.result as? CallResult.Failed)?.kind
         metrics.callEnded(route.declaration.name, route.declaration.rank, kind, clock.now() - request.arrived)
         return answer
@@ -201,14 +203,7 @@
             val reply = if (endpoint.frameAddress == ownFrames) runHere(outgoing) else frames.run(endpoint.frameAddress, outgoing)
             val now = clock.now()
             selection.answered(call.route, endpoint.instance, reply, now - sent, now)
-            decisions.decision(
-                "routing",
-                "ended",
-                outcomeOf(reply.result).runStatus.headerValue,
-                "attempt" to attempt,
-                "took" to now - sent,
-                "server" to endpoint.instance,
-            )
+            if (reply.result is CallResult.Failed) logFailedTry(attempt, endpoint, reply.result, now - sent)
             return reply
         } catch (cancelled: CancellationException) {
             selection.abandoned(endpoint.instance, clock.now())
@@ -328,6 +323,46 @@
         return ProxyAnswer(CallResult.Failed(ErrorKind.OVERLOADED, "at the entry", ENTRY_RETRY_AFTER))
     }
 
+    private fun logFailedTry(
+        attempt: AttemptId,
+        endpoint: Member,
+        failure: CallResult.Failed,
+        took: Duration,
+    ) {
+        decisions.decision(
+            "routing",
+            "ended",
+            failure.kind.name,
+            "attempt" to attempt,
+            "server" to endpoint.instance,
+            "took" to took,
+            "detail" to failure.detail,
+        )
+    }
+
+    private fun logAnswer(
+        request: CallRequest,
+        result: CallResult,
+        route: RouteName?,
+    ) {
+        val failure = result as? CallResult.Failed
+        decisions.decision(
+            "call",
+            "answered",
+            failure?.kind?.name ?: "ANSWERED",
+            "id" to headers.attemptOf(request.headers),
+            "route" to route,
+            "target" to "${request.method} ${request.host}${request.path}",
+            "status" to ((result as? CallResult.Answered)?.status ?: failure?.kind?.httpStatus),
+            "took" to clock.now() - request.arrived,
+            "retryAfter" to failure?.retryAfter,
+            "version" to
+                routing.current.snapshot
+                    ?.digest
+                    ?.version,
+        )
+    }
+
     private fun logChoice(
         call: Call,
         attempt: AttemptId,
@@ -339,6 +374,7 @@
             choice.endpoint.instance.value,
             choice.reason.name,
             "route" to call.route.declaration.name,
+            "id" to headers.attemptOf(call.request.headers),
             "attempt" to attempt,
             "try" to attempts,
             "cost" to choice.cost,
@@ -350,11 +386,12 @@
     private fun badDeadline(asked: String): String = "${headers.deadline}: \"$asked\" is not a whole number of milliseconds"
 
     private fun unrouted(
+        request: CallRequest,
         kind: ErrorKind,
         detail: String = "",
     ): ProxyAnswer {
         metrics.unroutedCallEnded(kind)
-        return failed(kind, detail)
+        return failed(kind, detail).also { logAnswer(request, it.result, route = null) }
     }
 
     private fun failed(
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -332,7 +332,7 @@
         now: Moment,
     ) {
         task.startedAt = now
-        logDecision(task, "start", decision.reason.name, decision)
+        if (decision.waited.isPositive()) logDecision(task, "start", decision.reason.name, decision)
         when (val start = attempts.start(task.call.reference, task.call.idempotent, uptime(now))) {
             is AttemptStart.Run -> {
                 task.turn.complete(null)
--- a/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
@@ -2,11 +2,14 @@
 
 import kotlinx.coroutines.runBlocking
 import org.celeryusher.node.runtime.Node
+import org.celeryusher.node.settings.NodeSettings
 import org.celeryusher.node.settings.NodeSettingsReader
+import org.celeryusher.node.settings.SettingsReload
 import org.kohsuke.args4j.Option
 import java.io.IOException
 import java.nio.file.Path
-import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 
 /** Runs one node until it is told to stop. */
 public class NodeCommand : Command {
@@ -29,6 +32,7 @@
         output: CommandOutput,
     ): ExitStatus =
         withOptions(this, Options(), arguments, output) { options ->
+            System.setProperty(LOG_STREAM_PROPERTY, "System.out")
             NodeSettingsReader.read(Path.of(options.settings)).fold(
                 { faults ->
                     faults.forEach { output.error.println("celeryusher node: ${options.settings}: $it") }
@@ -39,7 +43,7 @@
                         output.standard.println(NodeSettingsReader.print(settings))
                         ExitStatus.OK
                     } else {
-                        runUntilStopped(Node(settings), output)
+                        runUntilStopped(Node(settings), settings, Path.of(options.settings), output)
                     }
                 },
             )
@@ -47,6 +51,8 @@
 
     private fun runUntilStopped(
         node: Node,
+        settings: NodeSettings,
+        file: Path,
         output: CommandOutput,
     ): ExitStatus {
         try {
@@ -64,9 +70,26 @@
             },
         )
         output.error.println("celeryusher node: ${node.settings.instance} takes calls at ${node.settings.addresses.callers}")
-        CountDownLatch(1).await()
+        reloadUntilStopped(SettingsReload(file, settings))
         return ExitStatus.OK
     }
 
+    // Without a handler of its own SIGHUP would end the JVM.
+    private fun reloadUntilStopped(reload: SettingsReload) {
+        val signals = LinkedBlockingQueue<String>()
+        sun.misc.Signal.handle(sun.misc.Signal("HUP")) { signals.offer("SIGHUP") }
+        while (true) {
+            val signal = signals.poll(SETTINGS_POLL_SECONDS, TimeUnit.SECONDS)
+            reload.check(signal)
+        }
+    }
+
+    private companion object {
+        const val LOG_STREAM_PROPERTY = "celeryusher.log.stream"
+
+        /** A settings file may change without a signal; nobody waits for what changes in it. */
+        const val SETTINGS_POLL_SECONDS = 5L
+    }
+
     private fun addressesOf(node: Node): String = with(node.settings.addresses) { listOf(callers, control, frames, admin).joinToString() }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
@@ -6,7 +6,8 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Writes one structured log line for each routing or placement decision of one node, and keeps the latest for its status.
+ * Writes one structured log line for each routing or placement decision of one node, within a bound a second, and keeps the latest for
+ * its status.
  *
  * The latest [capacity] decisions are kept for each subject, so that frequent ones do not displace rare ones. At most
  * [MAXIMUM_SUBJECTS] subjects are told apart; the decisions on further ones share one record.
@@ -17,6 +18,7 @@
     private val capacity: Int = DEFAULT_CAPACITY,
 ) {
     private val records = ConcurrentHashMap<String, DecisionRecord>()
+    private val lines = LineBudget(LINES_PER_SECOND)
 
     /** The decisions that are kept, the earliest first. */
     public val latest: List<Decision> get() = records.values.flatMap(DecisionRecord::decisions).sortedBy(Decision::at)
@@ -35,8 +37,13 @@
         reason: String,
         vararg inputs: Pair<String, Any?>,
     ) {
-        recordOf(subject).add(Decision(clock.now(), subject, decided, reason, inputs))
-        write(subject, decided, reason, instance, inputs)
+        val now = clock.now()
+        recordOf(subject).add(Decision(now, subject, decided, reason, inputs))
+        val verdict = lines.take(now)
+        if (verdict.droppedBefore > 0) {
+            write("log", "lines dropped", "more than $LINES_PER_SECOND in a second", instance, arrayOf("count" to verdict.droppedBefore))
+        }
+        if (verdict.mayWrite) write(subject, decided, reason, instance, inputs)
     }
 
     private fun recordOf(subject: String): DecisionRecord {
@@ -49,6 +56,9 @@
         /** How many subjects have a record of their own. */
         public const val MAXIMUM_SUBJECTS: Int = 16
         private const val DEFAULT_CAPACITY = 32
+
+        /** Three lines for each of the calls that an instance of today takes at its heaviest, and as many again for its guard. */
+        private const val LINES_PER_SECOND = 400
         private const val OTHER_SUBJECTS = "other"
         private val logger = KotlinLogging.logger("org.celeryusher.decision")
 
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -96,6 +96,7 @@
         controlServer?.start()
         if (health != null) scope.launch { health.run() }
         control.start(scope)
+        logger.info { "node ${settings.instance} started, incarnation ${incarnation.start}, platform ${settings.platform}" }
         if (controlServer != null &&
             settings.fleetSecret == null
         ) {
@@ -109,12 +110,14 @@
      */
     public suspend fun stop() {
         isStopping = true
+        logger.info { "node ${settings.instance} stops: ${calls.inFlight} calls in flight" }
         control.leave()
         calls.drain()
         delay(settings.control.leaveNoticeMilliseconds.milliseconds)
         calls.finish()
         control.stop()
         halt()
+        logger.info { "node ${settings.instance} stopped: ${calls.inFlight} calls cut" }
     }
 
     /** Ends at once as a killed process would: tells nobody, waits for nothing. */
