Take a server for stopped only a moment after its connections closed

Cause: the test of a crash request met a server whose connections were closed a moment before its listener, so the guard took it for alive. The sockets of a process that ends are closed one after the other.

--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -238,11 +238,16 @@
             }
         val result = ended ?: CallResult.Failed(ErrorKind.DEADLINE_WHILE_RUNNING)
         val isLost = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_LOST
-        // A server also closes single connections while it lives; only one that takes no new ones has stopped.
-        if (isLost && !client.isListening()) return CallResult.Failed(ErrorKind.SERVER_CRASHED, result.detail)
+        if (isLost && hasStopped()) return CallResult.Failed(ErrorKind.SERVER_CRASHED, result.detail)
         return result
     }
 
+    // A server also closes single connections while it lives; only one that takes no new ones has stopped.
+    private suspend fun hasStopped(): Boolean {
+        delay(CLOSING_TIME)
+        return !client.isListening()
+    }
+
     private suspend fun follow(first: GuardTask): CallResult {
         val left = first.deadline - clock.now()
         return withTimeoutOrNull(left) { first.ended.await() } ?: CallResult.Failed(ErrorKind.TICKET_IN_PROGRESS)
@@ -402,6 +407,8 @@
 
         /** How long the server's own answer to a passed deadline may take to come; shorter than a caller would notice. */
         val SERVER_ANSWER_GRACE = 40.milliseconds
+        /** The sockets of a process that ends are closed one after the other; this is longer than that takes. */
+        val CLOSING_TIME = 20.milliseconds
         val DEFAULT_QUARANTINE = 600_000.milliseconds
     }
 }
--- a/node/src/test/kotlin/org/celeryusher/node/command/CommandLineTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/command/CommandLineTest.kt
@@ -51,7 +51,7 @@
                     "explain $document $place",
                     ExitStatus.OK,
                     "version 1 at records-hub-1 (service records-hub, data centre antwerp-4)",
-                    "deadlineMilliseconds    2000    default",
+                    "deadlineMilliseconds       2000    default",
                     "drainLimitMilliseconds     40000   exception records-hub-long-drain: A yearly archive takes up to 30 s",
                 ),
                 Case(
