Split guard and proxy by job, and let the entry throttle count calls and not offers

Cause: the throttle counted each guard's refusal of one call as a refused call, so that it refused calls which the next guard would have taken. Ruled out by reading: no other user of these counts.

--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallOutcomes.kt
@@ -0,0 +1,32 @@
+package org.celeryusher.node.call
+
+import org.celeryusher.kernel.admission.ServiceOutcome
+import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.execution.Outcome
+import kotlin.time.Duration
+
+/** Returns what [result] proves about the work. */
+internal fun outcomeOf(result: CallResult): Outcome =
+    when (result) {
+        is CallResult.Answered -> Outcome.Ran(result.status)
+        is CallResult.Failed -> Outcome.of(result.kind)
+    }
+
+/** Returns the failure that says what [outcome] proves. */
+internal fun failureOf(
+    outcome: Outcome,
+    detail: String = "",
+    retryAfter: Duration? = null,
+): CallResult =
+    when (outcome) {
+        is Outcome.Ran -> CallResult.Failed(ErrorKind.CONNECTION_LOST, "the answer of another copy is gone")
+        is Outcome.NotRun -> CallResult.Failed(outcome.kind, detail, retryAfter)
+        is Outcome.Unknown -> CallResult.Failed(outcome.kind, detail, retryAfter)
+    }
+
+/** Returns what [result] tells of the backend server's load. */
+internal fun serviceOutcomeOf(result: CallResult): ServiceOutcome =
+    when (result) {
+        is CallResult.Answered -> ServiceOutcome.OK
+        is CallResult.Failed -> if (result.kind == ErrorKind.SERVER_SHED) ServiceOutcome.SHED else ServiceOutcome.FAILED
+    }
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -7,7 +7,6 @@
 import org.celeryusher.kernel.error.RunStatus
 import org.celeryusher.kernel.execution.AnswerReason
 import org.celeryusher.kernel.execution.AttemptId
-import org.celeryusher.kernel.execution.CallProgress
 import org.celeryusher.kernel.execution.CrashVerdict
 import org.celeryusher.kernel.execution.DeadlineBudget
 import org.celeryusher.kernel.execution.QuarantineNews
@@ -18,14 +17,12 @@
 import org.celeryusher.kernel.execution.Ticket
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
-import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.routing.EndpointChoice
 import org.celeryusher.kernel.routing.EntryDecision
 import org.celeryusher.kernel.routing.HeldRoute
 import org.celeryusher.kernel.routing.ResolvedRoute
 import org.celeryusher.kernel.routing.SplitRoute
-import org.celeryusher.node.http.HeaderField
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.NodeMetrics
 import org.celeryusher.node.runtime.ProcessClock
@@ -55,6 +52,8 @@
     private val decisions: DecisionLog,
     private val awaitFreshView: suspend () -> Unit,
 ) {
+    private val log = CallLog(decisions, headers, clock)
+
     /** Routes and runs [request]. */
     suspend fun run(request: CallRequest): ProxyAnswer {
         awaitFreshView()
@@ -108,7 +107,7 @@
         snapshot: ConfigurationSnapshot,
     ): ProxyAnswer {
         val answer = runOn(route, request, snapshot)
-        logAnswer(request, answer.result, route.declaration.name)
+        log.answered(request, answer.result, route.declaration.name, routing.current.snapshot)
         val kind = (answer.result as? CallResult.Failed)?.kind
         metrics.callEnded(route.declaration.name, route.declaration.rank, kind, clock.now() - request.arrived)
         return answer
@@ -135,12 +134,13 @@
         val hasOwnKey = request.header(CeleryusherHeaders.IDEMPOTENCY_KEY) != null
         if (hasOwnKey && !route.declaration.idempotent) return failed(ErrorKind.TICKET_REQUIRED, "POST /-/tickets issues one")
         val entry = selection.enter(route, snapshot, clock.now())
-        if (entry is EntryDecision.Refuse) return refusedAtEntry(route, entry)
-        return runWithRetries(Call(route, request, deadline, fingerprint), verdict is CrashVerdict.RunAlone)
+        val call = ProxiedCall(route, request, deadline, fingerprint)
+        if (entry is EntryDecision.Refuse) return refusedAtEntry(call, entry)
+        return runWithRetries(call, verdict is CrashVerdict.RunAlone).also { selection.callEnded(route, it.result, clock.now()) }
     }
 
     private suspend fun runWithRetries(
-        call: Call,
+        call: ProxiedCall,
         suspectedBefore: Boolean,
     ): ProxyAnswer {
         val tried = mutableSetOf<InstanceName>()
@@ -153,11 +153,17 @@
             if (choice !is EndpointChoice.Chosen) return failed(ErrorKind.NO_ENDPOINT, call.route.service.name.value)
             tried += choice.endpoint.instance
             val attempt = AttemptId.random(random)
-            logChoice(call, attempt, choice, tried.size)
+            log.choice(call, attempt, choice, tried.size)
             val reply = place(choice.endpoint, attempt, call, request, suspected)
             noteCrash(call.fingerprint, reply)
             if (RetryPolicy.reachedServer(outcomeOf(reply.result))) attempts++
-            val decision = selection.afterAttempt(call.route, reply.result, progressOf(call, tried, attempts, reply), clock.now())
+            val decision =
+                selection.afterAttempt(
+                    call.route,
+                    reply.result,
+                    call.progress(tried, attempts, reply, MAXIMUM_OFFERS),
+                    clock.now(),
+                )
             expectedWait = listOfNotNull(expectedWait, (reply.result as? CallResult.Failed)?.retryAfter).minOrNull()
             when (decision) {
                 is RetryDecision.Answer -> return answerAfter(call, reply, decision, expectedWait)
@@ -170,7 +176,7 @@
     }
 
     private fun answerAfter(
-        call: Call,
+        call: ProxiedCall,
         reply: GuardReply,
         decision: RetryDecision.Answer,
         expectedWait: Duration?,
@@ -180,7 +186,7 @@
     }
 
     private fun withReturnAdvice(
-        call: Call,
+        call: ProxiedCall,
         result: CallResult,
         expectedWait: Duration?,
     ): CallResult {
@@ -193,17 +199,17 @@
     private suspend fun place(
         endpoint: Member,
         attempt: AttemptId,
-        call: Call,
+        call: ProxiedCall,
         request: CallRequest,
         suspected: Boolean,
     ): GuardReply {
         val sent = clock.now()
         try {
-            val outgoing = outgoing(call, request, attempt, endpoint, suspected)
+            val outgoing = call.outgoing(request, attempt, endpoint, selection.oneWayTo(endpoint), suspected)
             val reply = if (endpoint.frameAddress == ownFrames) runHere(outgoing) else frames.run(endpoint.frameAddress, outgoing)
             val now = clock.now()
             selection.answered(call.route, endpoint.instance, reply, now - sent, now)
-            if (reply.result is CallResult.Failed) logFailedTry(attempt, endpoint, reply.result, now - sent)
+            if (reply.result is CallResult.Failed) log.failedTry(attempt, endpoint, reply.result, now - sent)
             return reply
         } catch (cancelled: CancellationException) {
             selection.abandoned(endpoint.instance, clock.now())
@@ -243,7 +249,8 @@
             "attempt" to attempt,
         )
         selection.sentToOwner(owner.instance)
-        val call = Call(route, request, deadline, RequestFingerprint.of(request.method, request.target, request.body), text, ticket.life)
+        val call =
+            ProxiedCall(route, request, deadline, RequestFingerprint.of(request.method, request.target, request.body), text, ticket.life)
         val result = place(owner, attempt, call, request, suspected = false).result
         val neverSent = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_REFUSED
         return if (neverSent && owner.frameAddress != ownFrames) {
@@ -253,53 +260,6 @@
         }
     }
 
-    private fun outgoing(
-        call: Call,
-        request: CallRequest,
-        attempt: AttemptId,
-        endpoint: Member,
-        suspected: Boolean,
-    ): OutgoingCall =
-        OutgoingCall(
-            attempt = attempt,
-            route = call.route.declaration.name,
-            rankPosition = call.route.rankPosition,
-            idempotent = call.route.declaration.idempotent,
-            request = request,
-            deadline = call.deadline,
-            oneWay = selection.oneWayTo(endpoint),
-            ticket = call.ticket,
-            ticketLife = call.ticketLife,
-            suspected = suspected,
-            server = endpoint.instance,
-            targetEnd = request.arrived + call.route.settings.targetLatencyMilliseconds.milliseconds,
-        )
-
-    private fun progressOf(
-        call: Call,
-        tried: Set<InstanceName>,
-        attempts: Int,
-        reply: GuardReply,
-    ): CallProgress =
-        CallProgress(
-            idempotent = call.route.declaration.idempotent,
-            attempts = attempts,
-            maximumAttempts = call.route.settings.maximumAttempts,
-            offers = tried.size,
-            maximumOffers = MAXIMUM_OFFERS,
-            arrivedAt = call.request.arrived,
-            deadline = call.deadline,
-            untriedEndpoints = call.route.endpoints.count { it.instance !in tried },
-            requestIsRetry = call.request.header(CeleryusherHeaders.RETRY) != null,
-            answerIsRetried =
-                (reply.result as? CallResult.Answered)?.headers.orEmpty().any {
-                    it.name.equals(
-                        CeleryusherHeaders.RETRIED,
-                        true,
-                    )
-                },
-        )
-
     private fun noteCrash(
         fingerprint: RequestFingerprint,
         reply: GuardReply,
@@ -310,77 +270,19 @@
     }
 
     private fun refusedAtEntry(
-        route: ResolvedRoute,
+        call: ProxiedCall,
         entry: EntryDecision.Refuse,
     ): ProxyAnswer {
         decisions.decision(
             "entry",
             "refused",
             "guards refuse this rank",
-            "route" to route.declaration.name,
-            "share" to entry.probability,
-        )
-        return ProxyAnswer(CallResult.Failed(ErrorKind.OVERLOADED, "at the entry", ENTRY_RETRY_AFTER))
-    }
-
-    private fun logFailedTry(
-        attempt: AttemptId,
-        endpoint: Member,
-        failure: CallResult.Failed,
-        took: Duration,
-    ) {
-        decisions.decision(
-            "routing",
-            "ended",
-            failure.kind.name,
-            "attempt" to attempt,
-            "server" to endpoint.instance,
-            "took" to took,
-            "detail" to failure.detail,
-        )
-    }
-
-    private fun logAnswer(
-        request: CallRequest,
-        result: CallResult,
-        route: RouteName?,
-    ) {
-        val failure = result as? CallResult.Failed
-        decisions.decision(
-            "call",
-            "answered",
-            failure?.kind?.name ?: "ANSWERED",
-            "id" to headers.attemptOf(request.headers),
-            "route" to route,
-            "target" to "${request.method} ${request.host}${request.path}",
-            "status" to ((result as? CallResult.Answered)?.status ?: failure?.kind?.httpStatus),
-            "took" to clock.now() - request.arrived,
-            "retryAfter" to failure?.retryAfter,
-            "version" to
-                routing.current.snapshot
-                    ?.digest
-                    ?.version,
-        )
-    }
-
-    private fun logChoice(
-        call: Call,
-        attempt: AttemptId,
-        choice: EndpointChoice.Chosen,
-        attempts: Int,
-    ) {
-        decisions.decision(
-            "routing",
-            choice.endpoint.instance.value,
-            choice.reason.name,
             "route" to call.route.declaration.name,
             "id" to headers.attemptOf(call.request.headers),
-            "attempt" to attempt,
-            "try" to attempts,
-            "cost" to choice.cost,
-            "passedOver" to choice.passedOver.size,
-            "ejected" to choice.ejected,
+            "share" to entry.probability,
         )
+        val refused = CallResult.Failed(ErrorKind.OVERLOADED, "at the entry")
+        return ProxyAnswer(withReturnAdvice(call, refused, expectedWait = call.deadline.left(clock.now())))
     }
 
     private fun badDeadline(asked: String): String = "${headers.deadline}: \"$asked\" is not a whole number of milliseconds"
@@ -391,7 +293,7 @@
         detail: String = "",
     ): ProxyAnswer {
         metrics.unroutedCallEnded(kind)
-        return failed(kind, detail).also { logAnswer(request, it.result, route = null) }
+        return failed(kind, detail).also { log.answered(request, it.result, route = null, routing.current.snapshot) }
     }
 
     private fun failed(
@@ -399,29 +301,11 @@
         detail: String = "",
     ): ProxyAnswer = ProxyAnswer(CallResult.Failed(kind, detail))
 
-    /** One call on its route. */
-    private class Call(
-        val route: ResolvedRoute,
-        val request: CallRequest,
-        val deadline: DeadlineBudget,
-        val fingerprint: RequestFingerprint,
-        val ticket: String? = null,
-        val ticketLife: Long? = null,
-    ) {
-        /** The request with the mark by which no node below tries it again. */
-        val markedAsRetry: CallRequest by lazy {
-            val marked = request.headers.filterNot { it.name.equals(CeleryusherHeaders.RETRY, ignoreCase = true) } + RETRY_MARK
-            CallRequest(request.method, request.target, marked, request.body, request.arrived, request.host)
-        }
-    }
-
     private companion object {
         const val TICKET_ATTEMPTS = 3
 
         /** How many guards are asked for one call at most; each that refuses costs a round trip and no work of a backend server. */
         const val MAXIMUM_OFFERS = 4
         const val CRASH_MEMORY_MILLISECONDS = 600_000L
-        val ENTRY_RETRY_AFTER = 1_000.milliseconds
-        val RETRY_MARK = HeaderField(CeleryusherHeaders.RETRY, "true")
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
@@ -77,7 +77,16 @@
     ) {
         loads.answered(endpoint, endpointResult(reply.result, latency), reply.load, now)
         (reply.result as? CallResult.Answered)?.let { loads.answerSize(route.declaration.name, it.body.size) }
-        val kind = (reply.result as? CallResult.Failed)?.kind
+    }
+
+    /** Records how a call on [route] ended after all its tries, by which the throttle at the entry goes. */
+    @Synchronized
+    fun callEnded(
+        route: ResolvedRoute,
+        result: CallResult,
+        now: Moment,
+    ) {
+        val kind = (result as? CallResult.Failed)?.kind
         throttle.answered(route.service.name, route.declaration.rank, accepted = kind !in refusalsForLoad, now)
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -10,7 +10,6 @@
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.AdmissionRequest
 import org.celeryusher.kernel.admission.GuardLoad
-import org.celeryusher.kernel.admission.ServiceOutcome
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptArrival
 import org.celeryusher.kernel.execution.AttemptId
@@ -19,7 +18,6 @@
 import org.celeryusher.kernel.execution.AttemptStart
 import org.celeryusher.kernel.execution.AttemptState
 import org.celeryusher.kernel.execution.CrashVerdict
-import org.celeryusher.kernel.execution.Outcome
 import org.celeryusher.kernel.execution.RequestFingerprint
 import org.celeryusher.kernel.execution.Ticket
 import org.celeryusher.kernel.execution.Uptime
@@ -50,6 +48,7 @@
     private var served: InstanceName? = instance
     private val lock = Any()
     private val attempts = AttemptRegistry(life)
+    private val server = ServerRun(client, clock)
     private val tickets = GuardTickets(instance, life, random)
     private val tasks = HashMap<AttemptId, GuardTask>()
     private val queued = Channel<Unit>(Channel.CONFLATED)
@@ -223,31 +222,13 @@
         }
         var result: CallResult = CallResult.Failed(ErrorKind.CANCELLED_WHILE_RUNNING)
         try {
-            result = runOnServer(task)
+            result = server.run(task)
         } finally {
             result = synchronized(lock) { ended(task, result) }
         }
         return result
     }
 
-    private suspend fun runOnServer(task: GuardTask): CallResult {
-        val left = task.deadline - clock.now()
-        val ended =
-            withTimeoutOrNull(left + SERVER_ANSWER_GRACE) {
-                client.run(task.call.request, left.inWholeMilliseconds.coerceAtLeast(0), task.call.server)
-            }
-        val result = ended ?: CallResult.Failed(ErrorKind.DEADLINE_WHILE_RUNNING)
-        val isLost = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_LOST
-        if (isLost && hasStopped()) return CallResult.Failed(ErrorKind.SERVER_CRASHED, result.detail)
-        return result
-    }
-
-    // A server also closes single connections while it lives; only one that takes no new ones has stopped.
-    private suspend fun hasStopped(): Boolean {
-        delay(CLOSING_TIME)
-        return !client.isListening()
-    }
-
     private suspend fun follow(first: GuardTask): CallResult {
         val left = first.deadline - clock.now()
         return withTimeoutOrNull(left) { first.ended.await() } ?: CallResult.Failed(ErrorKind.TICKET_IN_PROGRESS)
@@ -388,51 +369,9 @@
         return crashes.news(clock.now()).find { it.fingerprint == fingerprint }?.crashes ?: 1
     }
 
-    private sealed interface Admitted {
-        class Task(
-            val task: GuardTask,
-        ) : Admitted
-
-        class Follow(
-            val first: GuardTask,
-        ) : Admitted
-
-        class Ended(
-            val result: CallResult,
-        ) : Admitted
-    }
-
     private companion object {
         val TICK_INTERVAL = 5.milliseconds
 
-        /** How long the server's own answer to a passed deadline may take to come; shorter than a caller would notice. */
-        val SERVER_ANSWER_GRACE = 40.milliseconds
-        /** The sockets of a process that ends are closed one after the other; this is longer than that takes. */
-        val CLOSING_TIME = 20.milliseconds
         val DEFAULT_QUARANTINE = 600_000.milliseconds
     }
 }
-
-/** Returns what [result] proves about the work. */
-internal fun outcomeOf(result: CallResult): Outcome =
-    when (result) {
-        is CallResult.Answered -> Outcome.Ran(result.status)
-        is CallResult.Failed -> Outcome.of(result.kind)
-    }
-
-private fun failureOf(
-    outcome: Outcome,
-    detail: String = "",
-    retryAfter: Duration? = null,
-): CallResult =
-    when (outcome) {
-        is Outcome.Ran -> CallResult.Failed(ErrorKind.CONNECTION_LOST, "the answer of another copy is gone")
-        is Outcome.NotRun -> CallResult.Failed(outcome.kind, detail, retryAfter)
-        is Outcome.Unknown -> CallResult.Failed(outcome.kind, detail, retryAfter)
-    }
-
-private fun serviceOutcomeOf(result: CallResult): ServiceOutcome =
-    when (result) {
-        is CallResult.Answered -> ServiceOutcome.OK
-        is CallResult.Failed -> if (result.kind == ErrorKind.SERVER_SHED) ServiceOutcome.SHED else ServiceOutcome.FAILED
-    }
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/call/ProxiedCall.kt
@@ -0,0 +1,76 @@
+package org.celeryusher.node.call
+
+import org.celeryusher.kernel.execution.AttemptId
+import org.celeryusher.kernel.execution.CallProgress
+import org.celeryusher.kernel.execution.DeadlineBudget
+import org.celeryusher.kernel.execution.RequestFingerprint
+import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.routing.ResolvedRoute
+import org.celeryusher.node.http.HeaderField
+import org.celeryusher.node.http.value
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One call of a caller on the route that it matched. */
+internal class ProxiedCall(
+    val route: ResolvedRoute,
+    val request: CallRequest,
+    val deadline: DeadlineBudget,
+    val fingerprint: RequestFingerprint,
+    val ticket: String? = null,
+    val ticketLife: Long? = null,
+) {
+    /** The request with the mark by which no node below tries it again. */
+    val markedAsRetry: CallRequest by lazy {
+        val marked = request.headers.filterNot { it.name.equals(CeleryusherHeaders.RETRY, ignoreCase = true) } + RETRY_MARK
+        CallRequest(request.method, request.target, marked, request.body, request.arrived, request.host)
+    }
+
+    /** Returns one [attempt] of this call at [endpoint], with [sent] as the request. */
+    fun outgoing(
+        sent: CallRequest,
+        attempt: AttemptId,
+        endpoint: Member,
+        oneWay: Duration,
+        suspected: Boolean,
+    ): OutgoingCall =
+        OutgoingCall(
+            attempt = attempt,
+            route = route.declaration.name,
+            rankPosition = route.rankPosition,
+            idempotent = route.declaration.idempotent,
+            request = sent,
+            deadline = deadline,
+            oneWay = oneWay,
+            ticket = ticket,
+            ticketLife = ticketLife,
+            suspected = suspected,
+            server = endpoint.instance,
+            targetEnd = sent.arrived + route.settings.targetLatencyMilliseconds.milliseconds,
+        )
+
+    /** Returns how far this call has come after the guards of [tried] were asked, the last of them answering [reply]. */
+    fun progress(
+        tried: Set<InstanceName>,
+        attempts: Int,
+        reply: GuardReply,
+        maximumOffers: Int,
+    ): CallProgress =
+        CallProgress(
+            idempotent = route.declaration.idempotent,
+            attempts = attempts,
+            maximumAttempts = route.settings.maximumAttempts,
+            offers = tried.size,
+            maximumOffers = maximumOffers,
+            arrivedAt = request.arrived,
+            deadline = deadline,
+            untriedEndpoints = route.endpoints.count { it.instance !in tried },
+            requestIsRetry = request.header(CeleryusherHeaders.RETRY) != null,
+            answerIsRetried = (reply.result as? CallResult.Answered)?.headers?.value(CeleryusherHeaders.RETRIED) != null,
+        )
+
+    private companion object {
+        val RETRY_MARK = HeaderField(CeleryusherHeaders.RETRY, "true")
+    }
+}
