--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
@@ -6,9 +6,6 @@
 import java.nio.ByteBuffer
 import java.nio.channels.AsynchronousSocketChannel
 import java.nio.channels.CompletionHandler
-import kotlin.coroutines.Continuation
-import kotlin.coroutines.resume
-import kotlin.coroutines.resumeWithException
 
 /**
  * One TCP connection. One coroutine may read while another writes.
@@ -44,9 +41,9 @@
     suspend fun write(bytes: ByteArray) {
         val buffer = ByteBuffer.wrap(bytes)
         while (buffer.hasRemaining()) {
-            suspendCancellableCoroutine<Unit> { waiting ->
+            suspendCancellableCoroutine<Int> { waiting ->
                 waiting.invokeOnCancellation { close() }
-                channel.write(buffer, waiting, ResumeWrite)
+                channel.write(buffer, waiting, ResumeWith())
             }
         }
     }
@@ -84,18 +81,6 @@
         }
     }
 
-    private object ResumeWrite : CompletionHandler<Int, Continuation<Unit>> {
-        override fun completed(
-            result: Int,
-            waiting: Continuation<Unit>,
-        ): Unit = waiting.resume(Unit)
-
-        override fun failed(
-            error: Throwable,
-            waiting: Continuation<Unit>,
-        ): Unit = waiting.resumeWithException(asIOException(error))
-    }
-
     private companion object {
         const val READ_BYTES = 8_192
     }
--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpNetwork.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpNetwork.kt
@@ -33,9 +33,9 @@
         val channel = AsynchronousSocketChannel.open(group)
         try {
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-            suspendCancellableCoroutine<Unit> { waiting ->
+            suspendCancellableCoroutine<Void?> { waiting ->
                 waiting.invokeOnCancellation { channel.close() }
-                channel.connect(socketAddressOf(address), waiting, Resume)
+                channel.connect(socketAddressOf(address), waiting, ResumeWith())
             }
         } catch (error: IOException) {
             channel.close()
@@ -86,19 +86,8 @@
     fun close(): Unit = channel.close()
 }
 
-private object Resume : CompletionHandler<Void?, Continuation<Unit>> {
-    override fun completed(
-        result: Void?,
-        waiting: Continuation<Unit>,
-    ): Unit = waiting.resume(Unit)
-
-    override fun failed(
-        error: Throwable,
-        waiting: Continuation<Unit>,
-    ): Unit = waiting.resumeWithException(asIOException(error))
-}
-
-private class ResumeWith<T> : CompletionHandler<T, Continuation<T>> {
+/** Resumes the coroutine that waits for an operation on a channel. */
+internal class ResumeWith<T> : CompletionHandler<T, Continuation<T>> {
     override fun completed(
         result: T,
         waiting: Continuation<T>,
--- a/standin/src/main/kotlin/org/celeryusher/standin/http/HttpListener.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/http/HttpListener.kt
@@ -45,7 +45,7 @@
  * one process carries hundreds of stand-ins. It also gives what an engine hides: connection limits, abrupt closing, and the
  * cancellation of a handler whose caller closes the connection.
  */
-internal class HttpListener(
+public class HttpListener(
     private val host: String,
     private val limits: ConnectionLimits,
     private val handler: suspend (HttpCall) -> HttpReply,
@@ -56,14 +56,14 @@
     private var socket: ServerSocket? = null
 
     /** How many connections are open. */
-    val openConnections: Int get() = connections.size
+    public val openConnections: Int get() = connections.size
 
     /** How many connections were closed on arrival, because the limit was reached. */
-    val refusedConnections: Long get() = refused.get()
+    public val refusedConnections: Long get() = refused.get()
 
     /** Binds [port], or a free one for 0, and returns the address that is bound. */
     @Synchronized
-    fun open(port: Int): Address {
+    public fun open(port: Int): Address {
         val bound = runBlocking { aSocket(sharedSelector).tcp().bind(host, port) { backlogSize = ACCEPT_BACKLOG } }
         val opened = CoroutineScope(SupervisorJob() + Dispatchers.Default)
         socket = bound
@@ -74,7 +74,7 @@
 
     /** Stops listening, cancels each running handler and closes each connection at once. Does nothing when it is not open. */
     @Synchronized
-    fun close() {
+    public fun close() {
         socket?.close()
         scope?.cancel()
         connections.forEach(Socket::close)
@@ -254,7 +254,7 @@
 }
 
 /** How many connections a listener keeps, and how long a new one waits before its first request is read. */
-internal data class ConnectionLimits(
-    val maximum: Int = Int.MAX_VALUE,
-    val openingCost: Duration = Duration.ZERO,
+public data class ConnectionLimits(
+    public val maximum: Int = Int.MAX_VALUE,
+    public val openingCost: Duration = Duration.ZERO,
 )
--- a/standin/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
+++ b/standin/src/main/resources/META-INF/services/org.celeryusher.node.command.Command
@@ -1,4 +1,3 @@
 org.celeryusher.standin.command.StandInCommand
 org.celeryusher.standin.demo.DemoCommand
 org.celeryusher.standin.measure.MeasureCommand
-org.celeryusher.standin.command.RehearseCommand
