--- a/kernel/src/test/kotlin/org/celeryusher/kernel/admission/FloodReplayTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/admission/FloodReplayTest.kt
@@ -49,7 +49,7 @@
             report.append(table(scenario, "ranks with shares", outcomes))
             report.append(table(scenario, "first in, first out", outcomes(scenario) { PlainScheduler(byRank = false, SLOTS, PLACES) }))
             report.append(table(scenario, "strict priority", outcomes(scenario) { PlainScheduler(byRank = true, SLOTS, PLACES) }))
-            File("target/flood-replay.md").writeText(report.toString())
+            File("target/flood-replay.md").apply { parentFile.mkdirs() }.writeText(report.toString())
             outcomes.forEach { checkTargets(scenario, it) }
         }
     }
