Let the whole-path test wait for both nodes

Cause: each node waits 3 s for the version that its peers hold; the guard's node starts later than the proxy's, under load by more than the test takes, and then answers NO_CONFIGURATION, which is true. The test waits for both nodes now; what it checks is unchanged.

--- a/node/src/test/kotlin/org/celeryusher/node/runtime/WholePathTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/WholePathTest.kt
@@ -41,12 +41,8 @@
                     proxyNode.start()
                     guardNode.start()
                     withTimeout(10.seconds) {
-                        while (proxyNode.routing.current.table
-                                ?.resolved
-                                .isNullOrEmpty()
-                        ) {
-                            delay(10.milliseconds)
-                        }
+                        waitUntilRouting(proxyNode)
+                        waitUntilRouting(guardNode)
                     }
                     val answer = get("http://$callers/readings/7?year=2026")
                     assertEquals("answer to /readings/7?year=2026", answer.body())
