--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
@@ -63,9 +63,9 @@
     /** Closes all connections. */
     fun stop(): Unit = channels.values.forEach(GuardChannel::close)
 
-    /** Closes the connections to all addresses but [addresses]. */
+    /** Closes the connections to all addresses but [addresses], each once the calls that it carries have ended. */
     fun retainOnly(addresses: Set<Address>) {
-        for (address in channels.keys - addresses) channels.remove(address)?.close()
+        for (address in channels.keys - addresses) channels.remove(address)?.retire()
     }
 
     private fun channelTo(address: Address): GuardChannel =
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -52,6 +52,9 @@
     @Volatile
     private var connection: OpenConnection? = null
 
+    @Volatile
+    private var isRetired = false
+
     /** Runs [call] on the guard. */
     suspend fun run(call: OutgoingCall): GuardReply {
         val open = openConnection() ?: return failure(ErrorKind.CONNECTION_REFUSED)
@@ -77,6 +80,12 @@
         }
     }
 
+    /** Closes the connection once no exchange waits on it: a backend server that leaves the list still answers what it has. */
+    fun retire() {
+        isRetired = true
+        closeIfRetired()
+    }
+
     /** Closes the connection. */
     fun close() {
         connection?.frames?.close()
@@ -109,9 +118,15 @@
         } finally {
             open.waiting.remove(exchange)
             if (!waiting.isCompleted) open.frames.send(Frame.Cancel(exchange))
+            closeIfRetired()
         }
     }
 
+    private fun closeIfRetired() {
+        val open = connection ?: return
+        if (isRetired && open.waiting.isEmpty()) open.frames.close()
+    }
+
     private fun frameOf(
         exchange: Long,
         call: OutgoingCall,
--- a/standin/src/main/kotlin/org/celeryusher/standin/server/BackendServerStandIn.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/server/BackendServerStandIn.kt
@@ -113,7 +113,20 @@
             listener.close()
             val restartAfter = profile.restartAfter ?: return@launch
             delay(restartAfter)
-            start()
+            startAgain()
+        }
+    }
+
+    // The port is free only once the selector has let go of the listener that was closed, which under load takes a moment.
+    private suspend fun startAgain() {
+        while (true) {
+            try {
+                start()
+                return
+            } catch (error: java.net.BindException) {
+                logger.info { "backend server $instance cannot listen yet: ${error.message}" }
+                delay(BIND_RETRY)
+            }
         }
     }
 
@@ -212,6 +225,8 @@
     private fun now(): Moment = Moment(System.nanoTime())
 
     private companion object {
+        val BIND_RETRY = 10.milliseconds
+
         const val OK = 200
         const val UNAVAILABLE = 503
         const val DEADLINE_PASSED = 504
