--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -70,6 +70,15 @@
         }
     }
 
+    override fun recordDisconnected(request: HttpRequest): Unit =
+        decisions.record(
+            "call",
+            "dropped",
+            "the caller had closed the connection before the request was read",
+            "id" to headers.attemptOf(request.headers),
+            "target" to "${request.method} ${request.host}${request.target}",
+        )
+
     override fun respondToFault(
         fault: RequestFault,
         detail: String,
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.node.net.EventLoop
 import org.celeryusher.node.net.TcpConnection
 import org.celeryusher.node.net.TcpListener
 import org.celeryusher.node.net.TcpNetwork
@@ -38,6 +39,9 @@
     /** Returns the response to [request]. Cancelled when the client disconnects first. */
     suspend fun answer(request: HttpRequest): HttpResponse
 
+    /** Records that [request] is dropped, because its client had closed the connection before it could be handled. */
+    fun recordDisconnected(request: HttpRequest): Unit = Unit
+
     /** Returns the response to a request that could not be read because of [fault]. */
     fun respondToFault(
         fault: RequestFault,
@@ -131,12 +135,24 @@
                 is ReadResult.Done -> read.value
             }
         val request = HttpRequest(head.method, head.target, head.headers, body, head.headers.value("Host").orEmpty())
+        if (hasClientLeft(stream)) {
+            handler.recordDisconnected(request)
+            return false
+        }
         val response = answerUnlessDisconnected(stream, request) ?: return false
         val isKeepAlive = head.isKeepAlive && !isClosing
         write(stream, HttpWriter.encode(response, head.method, isKeepAlive))
         return isKeepAlive
     }
 
+    /**
+     * Returns whether the client closed the connection a while ago, so that nobody waits for the response.
+     *
+     * A client that has only just closed its sending side may still read the response.
+     */
+    private fun hasClientLeft(stream: HttpStream): Boolean =
+        stream.isEnded && network.now() - stream.receivedSince > HALF_CLOSE_GRACE + EventLoop.POLL_INTERVAL
+
     private suspend fun awaitRequest(stream: HttpStream): Boolean {
         if (stream.bufferedBytes > 0) return true
         if (isClosing) return false
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.http
 
+import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.net.TcpConnection
 import java.io.ByteArrayOutputStream
 import java.io.EOFException
@@ -26,9 +27,15 @@
     /** The number of received bytes that are not consumed yet. */
     val bufferedBytes: Int get() = end - start
 
-    /** Whether there are no unconsumed bytes and the peer has not closed the connection, as far as is known to this process. */
+    /** Whether there are no unconsumed bytes and the peer has not closed the connection. */
     val isIdle: Boolean get() = bufferedBytes == 0 && connection.isIdle
 
+    /** Whether the peer has closed the connection or its sending side, and all its bytes are consumed. */
+    val isEnded: Boolean get() = bufferedBytes == 0 && connection.isEnded
+
+    /** The earliest time at which the bytes that were last received can have arrived. */
+    val receivedSince: Moment get() = connection.receivedSince
+
     /** Closes the connection. */
     fun close() {
         connection.close()
--- /dev/null
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpListener.kt
@@ -0,0 +1,76 @@
+package org.celeryusher.node.net
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.celeryusher.node.runtime.ProcessClock
+import java.io.IOException
+import java.net.StandardSocketOptions
+import java.nio.channels.ClosedChannelException
+import java.nio.channels.SelectionKey
+import java.nio.channels.ServerSocketChannel
+import java.nio.channels.SocketChannel
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executor
+import java.util.concurrent.TimeUnit
+
+/** A listening TCP socket. */
+internal class TcpListener(
+    private val channel: ServerSocketChannel,
+    private val loop: EventLoop,
+    private val clock: ProcessClock,
+) : RegisteredChannel {
+    private val key: SelectionKey = loop.register(channel, this)
+
+    @Volatile
+    private var onAccept: (TcpConnection) -> Unit = TcpConnection::close
+
+    /** Whether the listener still accepts connections. */
+    val isOpen: Boolean get() = channel.isOpen
+
+    /**
+     * Passes each connection to [onAccept] until the listener is closed. [onAccept] runs on the network thread and must not block.
+     *
+     * Connections are accepted without a coroutine: under load a coroutine is scheduled after all others, so that callers who open a
+     * connection for each request would wait in the backlog. After a failure, such as too many open file descriptors, it retries after a
+     * delay.
+     */
+    fun acceptEach(onAccept: (TcpConnection) -> Unit) {
+        this.onAccept = onAccept
+        loop.addInterest(key, SelectionKey.OP_ACCEPT)
+    }
+
+    override fun handleReadiness(ready: Int) {
+        try {
+            while (true) accept(channel.accept() ?: return)
+        } catch (_: ClosedChannelException) {
+            // The listener was closed.
+        } catch (error: IOException) {
+            logger.warn { "could not accept a connection, will retry: ${error.message}" }
+            loop.removeInterest(key, SelectionKey.OP_ACCEPT)
+            acceptRetryExecutor.execute { loop.addInterest(key, SelectionKey.OP_ACCEPT) }
+        }
+    }
+
+    /** Stops listening. */
+    override fun close() {
+        channel.close()
+        loop.wakeUp()
+    }
+
+    private fun accept(accepted: SocketChannel) {
+        try {
+            accepted.configureBlocking(false)
+            accepted.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            onAccept(TcpConnection(accepted, loop, clock, openedAt = loop.readySince))
+        } catch (error: IOException) {
+            logger.debug { "an accepted connection failed: ${error.message}" }
+            accepted.close()
+        }
+    }
+
+    private companion object {
+        /** The delay after a failed accept, in which other connections may end; short compared with the connect timeouts of callers. */
+        const val ACCEPT_RETRY_DELAY_MILLISECONDS = 100L
+        val acceptRetryExecutor: Executor = CompletableFuture.delayedExecutor(ACCEPT_RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS)
+        val logger = KotlinLogging.logger {}
+    }
+}
