Log changes of the list and the configuration apart from lines about calls

Lines about the state now have a limit of their own, state how old the last confirmed answer is, and say when a removal is deferred. DecisionLogTest failed before.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerDirectory.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerDirectory.kt
@@ -96,12 +96,12 @@
             .values
             .map { sameAddress -> sameAddress.maxBy { it.createdRevision } }
 
+    /** Returns the servers in use at [now] whose entries were removed, with the time at which each removal takes effect. */
+    public fun deferredRemovals(now: Moment): Map<InstanceName, Moment> =
+        entries.mapNotNull { (name, entry) -> entry.removeAt?.takeIf { it > now }?.let { name to it } }.toMap()
+
     /** Returns when the next deferred removal takes effect, or null if there is none. */
-    public fun nextExpiry(now: Moment): Moment? =
-        entries.values
-            .mapNotNull { it.removeAt }
-            .filter { it > now }
-            .minOrNull()
+    public fun nextExpiry(now: Moment): Moment? = deferredRemovals(now).values.minOrNull()
 
     private fun remove(
         instance: InstanceName,
--- a/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/log/DecisionLog.kt
@@ -18,7 +18,8 @@
     private val capacity: Int = DEFAULT_CAPACITY,
 ) {
     private val buffers = ConcurrentHashMap<String, DecisionRingBuffer>()
-    private val rateLimiter = LogRateLimiter(LINES_PER_SECOND)
+    private val callLines = LogRateLimiter(CALL_LINES_PER_SECOND)
+    private val stateLines = LogRateLimiter(STATE_LINES_PER_SECOND)
 
     /** The kept decisions, the earliest first. */
     public val latest: List<Decision> get() = buffers.values.flatMap(DecisionRingBuffer::decisions).sortedBy(Decision::at)
@@ -29,6 +30,8 @@
     /**
      * Logs and keeps the decision [decided] on [subject], with its [reason] and [inputs].
      *
+     * Lines about calls and all other lines have separate limits, so that a burst of calls does not hide what the node knows and why.
+     *
      * The inputs are formatted later, when the line is written or the status is read, so they must not change after this call.
      */
     public fun record(
@@ -39,9 +42,11 @@
     ) {
         val now = clock.now()
         bufferOf(subject).add(Decision(now, subject, decided, reason, inputs))
-        val outcome = rateLimiter.tryAcquire(now)
+        val isAboutCall = subject in CALL_SUBJECTS
+        val outcome = (if (isAboutCall) callLines else stateLines).tryAcquire(now)
         if (outcome.droppedBefore > 0) {
-            write("log", "lines dropped", "more than $LINES_PER_SECOND in a second", instance, arrayOf("count" to outcome.droppedBefore))
+            val limit = if (isAboutCall) "$CALL_LINES_PER_SECOND about calls" else "$STATE_LINES_PER_SECOND about the state"
+            write("log", "lines dropped", "more than $limit in a second", instance, arrayOf("count" to outcome.droppedBefore))
         }
         if (outcome.isAllowed) write(subject, decided, reason, instance, inputs)
     }
@@ -58,7 +63,13 @@
         private const val DEFAULT_CAPACITY = 32
 
         /** Allows three lines per call at the present peak load of an instance, and as many again for its guard. */
-        private const val LINES_PER_SECOND = 400
+        private const val CALL_LINES_PER_SECOND = 400
+
+        /** Allows a line for each server of a service that is replaced at once. */
+        private const val STATE_LINES_PER_SECOND = 100
+
+        /** The subjects with lines for each call, whose number grows with the load. */
+        private val CALL_SUBJECTS = setOf("call", "routing", "admission", "guard", "entry")
         private const val OTHER_SUBJECTS = "other"
         private val logger = KotlinLogging.logger("org.celeryusher.decision")
 
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.distribution.ReadBackoff
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.ListedServer
 import org.celeryusher.kernel.membership.ListedServerState
 import org.celeryusher.kernel.membership.Member
@@ -37,6 +38,7 @@
     private val readRequests = Channel<Unit>(Channel.CONFLATED)
     private var isSourceLost = false
     private var needsFullRead = true
+    private var loggedDeferrals: Set<InstanceName> = emptySet()
 
     /** The time of the last answer from the platform, or [Moment.DISTANT_PAST] before the first one. */
     @Volatile
@@ -168,15 +170,35 @@
     private fun publish(now: Moment) {
         val entries = directory.entriesInUse(now)
         relay.updateServers(entries, directory.revision, lastAnswer)
+        logDeferredRemovals(now)
         val members = entries.map { it.server }.sortedBy { it.instance }.map(::memberOf)
         val before = routing.current.view.members
         if (members == before.sortedBy { it.instance }) return
         for (change in differences(before.associateBy { it.instance }, members.associateBy { it.instance })) {
-            decisions.record("servers", change, "the platform's list", "revision" to directory.revision)
+            decisions.record(
+                "servers",
+                change,
+                "the platform's list",
+                "revision" to directory.revision,
+                "confirmedBefore" to now - lastAnswer,
+            )
         }
         routing.updateView(MembershipView(members))
     }
 
+    private fun logDeferredRemovals(now: Moment) {
+        val deferred = directory.deferredRemovals(now)
+        for ((name, removeAt) in deferred - loggedDeferrals) {
+            decisions.record(
+                "servers",
+                "$name stays for ${removeAt - now}",
+                "its entry was removed around an outage",
+                "revision" to directory.revision,
+            )
+        }
+        loggedDeferrals = deferred.keys
+    }
+
     private fun <K, V> differences(
         before: Map<K, V>,
         after: Map<K, V>,
--- a/node/src/test/kotlin/org/celeryusher/node/log/DecisionLogTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/log/DecisionLogTest.kt
@@ -1,7 +1,11 @@
 package org.celeryusher.node.log
 
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.time.Moment
+import org.slf4j.LoggerFactory
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -23,6 +27,23 @@
         assertEquals(3, log.discarded)
     }
 
+    /** Guards against a change of the server list or the configuration that a burst of calls keeps out of the log. */
+    @Test
+    fun linesAboutTheStateAreWrittenDuringABurstOfCalls() {
+        val logger = LoggerFactory.getLogger("org.celeryusher.decision") as Logger
+        val appender = ListAppender<ILoggingEvent>().apply { start() }
+        logger.addAppender(appender)
+        try {
+            val log = DecisionLog(InstanceName("records-hub-1"), { now })
+            repeat(1_000) { log.record("call", "answered", "ANSWERED") }
+            log.record("servers", "billing-desk-2 gone", "the platform's list")
+            assertEquals("servers", appender.list.last().message)
+            assertTrue(appender.list.size <= 402, "${appender.list.size} lines")
+        } finally {
+            logger.detachAppender(appender)
+        }
+    }
+
     @Test
     fun theNumberOfKeptDecisionsIsBoundedForManySubjects() {
         val log = DecisionLog(InstanceName("records-hub-1"), { now }, capacity = 2)
