Read completely after a watch that got no answer

What callers saw: 404 for a route of a version that had been acknowledged seconds before. Cause: a store that is about to drop its history leaves watches without an answer, beyond the time that they asked for. A node waited 3 s (configuration) or 1.4 s (list) and then started another watch, so that two silent watches in a row made it 4 to 6 s late.

WatchSchedule decides what to read: a watch waits 0.4 s and fails after 0.8 s, and the next read is complete and at once. It also states until when an answer proves that the data was current. The timeouts move out of the adapter.

--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/WatchSchedule.kt
@@ -0,0 +1,97 @@
+package org.celeryusher.kernel.distribution
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One read of the platform. */
+public sealed interface SourceRead {
+    /** How long the read may take; without an answer until then, it has failed. */
+    public val timeout: Duration
+
+    /** Reads everything. */
+    public data class Complete(
+        override val timeout: Duration,
+    ) : SourceRead
+
+    /** Waits up to [wait] for changes after [revision]. */
+    public data class Watch(
+        public val revision: Long,
+        public val wait: Duration,
+        override val timeout: Duration,
+    ) : SourceRead
+}
+
+/** The timing of a [WatchSchedule]. */
+public data class WatchSettings(
+    /** How long one watch waits for a change. */
+    public val wait: Duration = 400.milliseconds,
+    /** How much longer than its wait a watch may take: longer than the answer of a slow platform. */
+    public val margin: Duration = 400.milliseconds,
+    /** How long a complete read may take. */
+    public val readTimeout: Duration = 1.seconds,
+)
+
+/**
+ * Decides how one node reads one part of the platform's data: by watching for changes, or completely.
+ *
+ * A watch that gets no answer in time says nothing about the data: a platform can leave its watches without an answer, or cut them, while it
+ * answers other reads. After such a watch the data is read completely at once. Not thread-safe.
+ */
+public class WatchSchedule(
+    private val settings: WatchSettings = WatchSettings(),
+    private val backoff: ReadBackoff = ReadBackoff(),
+) {
+    private var needsCompleteRead = true
+
+    /** Returns the next read. [revision] is that of the data held. */
+    public fun next(revision: Long): SourceRead =
+        if (needsCompleteRead) {
+            SourceRead.Complete(settings.readTimeout)
+        } else {
+            SourceRead.Watch(revision, settings.wait, settings.wait + settings.margin)
+        }
+
+    /**
+     * Records the answer to [read], which was sent at [sentAt] and answered at [now].
+     *
+     * Returns the latest time at which the data is known to have been current. The platform can have taken an answer with changes as soon
+     * as the read was sent, but ends a watch without changes only after its wait.
+     */
+    public fun answered(
+        read: SourceRead,
+        hasChanges: Boolean,
+        sentAt: Moment,
+        now: Moment,
+    ): Moment {
+        needsCompleteRead = false
+        backoff.succeeded()
+        return when (read) {
+            is SourceRead.Complete -> sentAt
+            is SourceRead.Watch -> if (!hasChanges && now - sentAt >= read.wait) sentAt + read.wait else sentAt
+        }
+    }
+
+    /** Records that the platform no longer has the history after the revision of a watch. */
+    public fun historyGone() {
+        needsCompleteRead = true
+    }
+
+    /** Records that the data was brought up to date by another node, whose answers may lack changes that this node has not seen. */
+    public fun relayed() {
+        needsCompleteRead = true
+        backoff.succeeded()
+    }
+
+    /** Records that [read] failed. Returns the pause before the next read, which is at least [retryAfter] up to a limit. */
+    public fun failed(
+        read: SourceRead,
+        retryAfter: Duration,
+        random: Random,
+    ): Duration {
+        needsCompleteRead = true
+        return if (read is SourceRead.Watch && !retryAfter.isPositive()) Duration.ZERO else backoff.failed(random, retryAfter)
+    }
+}
--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/WatchScheduleTest.kt
@@ -0,0 +1,99 @@
+package org.celeryusher.kernel.distribution
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards against data that grows old because a watch without an answer is taken for data without changes. */
+class WatchScheduleTest {
+    private val start = Moment(0)
+    private val random = Random(1)
+    private val complete = SourceRead.Complete(1.seconds)
+    private val watch = SourceRead.Watch(7, 400.milliseconds, 800.milliseconds)
+
+    private enum class Event { ANSWERED, HISTORY_GONE, RELAYED, FAILED, REJECTED }
+
+    @Test
+    fun theDataIsReadCompletelyUnlessAllChangesSinceTheLastReadAreKnown() {
+        val cases =
+            listOf(
+                emptyList<Event>() to complete,
+                listOf(Event.ANSWERED) to watch,
+                listOf(Event.ANSWERED, Event.ANSWERED) to watch,
+                listOf(Event.ANSWERED, Event.HISTORY_GONE) to complete,
+                listOf(Event.ANSWERED, Event.FAILED) to complete,
+                listOf(Event.ANSWERED, Event.FAILED, Event.FAILED) to complete,
+                listOf(Event.ANSWERED, Event.REJECTED) to complete,
+                listOf(Event.ANSWERED, Event.FAILED, Event.ANSWERED) to watch,
+                listOf(Event.ANSWERED, Event.RELAYED) to complete,
+            )
+        for ((events, expected) in cases) {
+            val schedule = WatchSchedule()
+            events.forEach { apply(schedule, it) }
+            assertEquals(expected, schedule.next(7), "$events")
+        }
+    }
+
+    @Test
+    fun aWatchWithoutAnAnswerIsFollowedByACompleteReadAtOnce() {
+        data class Case(
+            val read: SourceRead,
+            val retryAfter: Duration,
+            val isAtOnce: Boolean,
+        )
+        val cases =
+            listOf(
+                Case(watch, Duration.ZERO, isAtOnce = true),
+                Case(watch, 300.milliseconds, isAtOnce = false),
+                Case(complete, Duration.ZERO, isAtOnce = false),
+            )
+        for (case in cases) {
+            val pause = WatchSchedule().failed(case.read, case.retryAfter, random)
+            assertEquals(case.isAtOnce, pause == Duration.ZERO, "$case")
+            assertTrue(pause >= case.retryAfter, "$case: $pause")
+        }
+    }
+
+    @Test
+    fun theDataIsKnownToBeCurrentOnlyUntilTheEarliestTimeOfTheAnswer() {
+        data class Case(
+            val name: String,
+            val read: SourceRead,
+            val hasChanges: Boolean,
+            val took: Duration,
+            val expected: Duration,
+        )
+        val cases =
+            listOf(
+                Case("complete read", complete, hasChanges = true, took = 4.milliseconds, expected = Duration.ZERO),
+                Case("delayed complete read", complete, hasChanges = true, took = 900.milliseconds, expected = Duration.ZERO),
+                Case("watch with a change", watch, hasChanges = true, took = 350.milliseconds, expected = Duration.ZERO),
+                Case("watch without one", watch, hasChanges = false, took = 404.milliseconds, expected = 400.milliseconds),
+                Case("delayed watch without one", watch, hasChanges = false, took = 790.milliseconds, expected = 400.milliseconds),
+                Case("watch that ended early", watch, hasChanges = false, took = 100.milliseconds, expected = Duration.ZERO),
+            )
+        for (case in cases) {
+            val confirmedAt = WatchSchedule().answered(case.read, case.hasChanges, start, start + case.took)
+            assertEquals(start + case.expected, confirmedAt, case.name)
+        }
+    }
+
+    private fun apply(
+        schedule: WatchSchedule,
+        event: Event,
+    ) {
+        val read = schedule.next(7)
+        when (event) {
+            Event.ANSWERED -> schedule.answered(read, hasChanges = true, start, start)
+            Event.HISTORY_GONE -> schedule.historyGone()
+            Event.RELAYED -> schedule.relayed()
+            Event.FAILED -> schedule.failed(read, Duration.ZERO, random)
+            Event.REJECTED -> schedule.failed(read, 1.seconds, random)
+        }
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -9,9 +9,10 @@
 import org.celeryusher.kernel.distribution.FloorSettings
 import org.celeryusher.kernel.distribution.HolderEvent
 import org.celeryusher.kernel.distribution.OfferDecision
-import org.celeryusher.kernel.distribution.ReadBackoff
+import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.distribution.VersionFloor
 import org.celeryusher.kernel.distribution.VersionHolder
+import org.celeryusher.kernel.distribution.WatchSchedule
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.SourceRelay
@@ -39,7 +40,7 @@
     private val relay: SourceRelay,
 ) {
     private val holder = VersionHolder(VersionFloor(clock.now(), settings.dataCentre, FloorSettings(waitLimit = Duration.ZERO)))
-    private val backoff = ReadBackoff()
+    private val schedule = WatchSchedule()
     private val readRequests = Channel<Unit>(Channel.CONFLATED)
     private val readsPlatform = MutableStateFlow(true)
     private var isSourceLost = false
@@ -113,38 +114,43 @@
     suspend fun run() {
         while (true) {
             if (revision != null) readsPlatform.first { it }
-            val after = revision
-            val reading = if (after == null) reader.readConfiguration() else reader.awaitConfiguration(after, WATCH_WAIT)
-            val pause = handle(reading)
+            val read = schedule.next(revision ?: 0)
+            val pause = handle(read, reader.readConfiguration(read))
             if (pause.isPositive()) withTimeoutOrNull(pause) { readRequests.receive() }
         }
     }
 
     /** Handles the result of one read; returns the pause before the next one. */
-    private fun handle(reading: PlatformReadResult<PublishedConfiguration?>): Duration =
+    private fun handle(
+        read: SourceRead,
+        reading: PlatformReadResult<PublishedConfiguration?>,
+    ): Duration =
         when (reading) {
             is PlatformReadResult.Value -> {
-                handleAnswer(reading)
+                handleAnswer(read, reading)
                 READ_INTERVAL
             }
 
             is PlatformReadResult.HistoryGone -> {
-                revision = null
+                schedule.historyGone()
                 Duration.ZERO
             }
 
             is PlatformReadResult.Unavailable -> {
                 if (!isSourceLost) decisions.record("source", "configuration lost", reading.reason, "revision" to revision)
                 isSourceLost = true
-                backoff.failed(random, reading.retryAfter)
+                schedule.failed(read, reading.retryAfter, random)
             }
         }
 
-    private fun handleAnswer(reading: PlatformReadResult.Value<PublishedConfiguration?>) {
+    private fun handleAnswer(
+        read: SourceRead,
+        reading: PlatformReadResult.Value<PublishedConfiguration?>,
+    ) {
         if (isSourceLost) decisions.record("source", "configuration regained", "the platform answers", "revision" to reading.revision)
         isSourceLost = false
-        backoff.succeeded()
         lastAnswer = clock.now()
+        schedule.answered(read, reading.value != null, lastAnswer, lastAnswer)
         reading.value?.let { offer(it, ConfigurationSource.Platform, lastAnswer) }
         revision = reading.revision
     }
@@ -192,9 +198,6 @@
     }
 
     private companion object {
-        /** How long one read waits for a newer configuration; a connection that fails silently is noticed soon after. */
-        val WATCH_WAIT = 2_000.milliseconds
-
         /** The pause after an answer, so that changes in quick succession are read together. */
         val READ_INTERVAL = 400.milliseconds
 
--- a/node/src/main/kotlin/org/celeryusher/node/source/PlatformAdapter.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/PlatformAdapter.kt
@@ -5,6 +5,7 @@
 import org.celeryusher.kernel.configuration.ConfigurationDocument
 import org.celeryusher.kernel.configuration.ConfigurationFault
 import org.celeryusher.kernel.configuration.FleetSettings
+import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.membership.ServerListChange
 import org.celeryusher.node.call.CallHeaders
 import kotlin.time.Duration
@@ -41,26 +42,14 @@
  * Each reading function sends only the requests that its own read needs, and throws no exception whatever the platform answers.
  */
 public interface PlatformReader {
-    /** Reads the newest configuration, which is null when there is none. */
-    public suspend fun readConfiguration(): PlatformReadResult<PublishedConfiguration?>
-
-    /** Waits up to [wait] for a configuration that was written after [revision]; it is null when none was. */
-    public suspend fun awaitConfiguration(
-        revision: Long,
-        wait: Duration,
-    ): PlatformReadResult<PublishedConfiguration?>
+    /** Carries out [read] of the configuration. The value is null when there is none, or none that a watch waited for. */
+    public suspend fun readConfiguration(read: SourceRead): PlatformReadResult<PublishedConfiguration?>
 
     /** Returns the configuration in [bytes], which another node has read from the platform. */
     public fun decodeConfiguration(bytes: ByteArray): PublishedConfiguration
 
-    /** Reads the full list of backend servers. */
-    public suspend fun readServers(): PlatformReadResult<List<ServerListChange>>
-
-    /** Waits up to [wait] for changes of the list after [revision]. */
-    public suspend fun awaitServers(
-        revision: Long,
-        wait: Duration,
-    ): PlatformReadResult<List<ServerListChange>>
+    /** Carries out [read] of the list of backend servers. */
+    public suspend fun readServers(read: SourceRead): PlatformReadResult<List<ServerListChange>>
 }
 
 /** A configuration as the platform published it. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -2,7 +2,8 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
-import org.celeryusher.kernel.distribution.ReadBackoff
+import org.celeryusher.kernel.distribution.SourceRead
+import org.celeryusher.kernel.distribution.WatchSchedule
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.ListedServer
@@ -34,10 +35,9 @@
     private val relay: SourceRelay,
 ) {
     private val directory = ServerDirectory()
-    private val backoff = ReadBackoff()
+    private val schedule = WatchSchedule()
     private val readRequests = Channel<Unit>(Channel.CONFLATED)
     private var isSourceLost = false
-    private var needsFullRead = true
     private var loggedDeferrals: Set<InstanceName> = emptySet()
 
     /** The time of the last answer from the platform, or [Moment.DISTANT_PAST] before the first one. */
@@ -61,8 +61,8 @@
     /** Reads the platform once. Returns the pause after a failure, or null after a success and the interval that follows it. */
     suspend fun readPlatform(): Duration? {
         val startedAt = clock.now()
-        val reading = if (needsFullRead) reader.readServers() else reader.awaitServers(directory.revision, WATCH_WAIT)
-        val pause = handle(reading)
+        val read = schedule.next(directory.revision)
+        val pause = handle(read, reader.readServers(read))
         if (pause == null) waitUntil(startedAt + READ_INTERVAL)
         return pause
     }
@@ -90,45 +90,53 @@
         directory.advanceTo(listRevision)
         // A peer keeps servers whose entries expired in an outage for a while. Should it fail before it reports their removal, a watch from
         // this revision would never return it.
-        needsFullRead = true
+        schedule.relayed()
         revision = directory.revision
         publish(clock.now())
     }
 
     /** Handles the result of one read; returns the pause after a failure, or null after a success. */
-    private fun handle(reading: PlatformReadResult<List<ServerListChange>>): Duration? {
+    private fun handle(
+        read: SourceRead,
+        reading: PlatformReadResult<List<ServerListChange>>,
+    ): Duration? {
         val now = clock.now()
         return when (reading) {
             is PlatformReadResult.Value -> {
-                handleAnswer(reading, now)
+                handleAnswer(read, reading, now)
                 null
             }
 
             is PlatformReadResult.HistoryGone -> {
                 decisions.record("source", "list read anew", "the platform dropped its history", "revision" to directory.revision)
-                needsFullRead = true
+                schedule.historyGone()
                 Duration.ZERO
             }
 
             is PlatformReadResult.Unavailable -> {
                 handleFailure(reading, now)
-                backoff.failed(random, reading.retryAfter)
+                schedule.failed(read, reading.retryAfter, random)
             }
         }
     }
 
     private fun handleAnswer(
+        read: SourceRead,
         reading: PlatformReadResult.Value<List<ServerListChange>>,
         now: Moment,
     ) {
         recordAnswer(reading.revision, "the platform answers", now)
-        if (needsFullRead) {
-            directory.replaceAll(reading.value.filterIsInstance<ServerListChange.Written>(), reading.revision, now)
-        } else {
-            reading.value.forEach { directory.apply(it, now) }
-            directory.advanceTo(reading.revision)
+        schedule.answered(read, reading.value.isNotEmpty(), now, now)
+        when (read) {
+            is SourceRead.Complete -> {
+                directory.replaceAll(reading.value.filterIsInstance<ServerListChange.Written>(), reading.revision, now)
+            }
+
+            is SourceRead.Watch -> {
+                reading.value.forEach { directory.apply(it, now) }
+                directory.advanceTo(reading.revision)
+            }
         }
-        needsFullRead = false
         revision = directory.revision
         publish(now)
     }
@@ -140,7 +148,6 @@
     ) {
         if (isSourceLost) decisions.record("source", "list regained", reason, "revision" to listRevision)
         isSourceLost = false
-        backoff.succeeded()
         directory.sourceAnswered(at)
         lastAnswer = at
     }
@@ -226,8 +233,5 @@
          * Heartbeats change the list many times a second. A change reaches this node and, through it, others well within the drain limit.
          */
         val READ_INTERVAL = 400.milliseconds
-
-        /** How long one read waits for a change. */
-        val WATCH_WAIT = 400.milliseconds
     }
 }
--- a/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.runBlocking
 import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.DataCentreName
 import org.celeryusher.kernel.identity.InstanceName
@@ -47,7 +48,7 @@
             assertEquals(listOf("a", "b"), names())
             watcher.readPlatform()
             assertEquals(listOf("a"), names())
-            assertEquals(listOf("full"), platform.reads)
+            assertEquals(listOf("complete"), platform.reads)
         }
 
     private fun names(): List<String> =
@@ -60,27 +61,15 @@
     ) : PlatformReader {
         val reads = mutableListOf<String>()
 
-        override suspend fun readConfiguration() = error("not read in this test")
-
-        override suspend fun awaitConfiguration(
-            revision: Long,
-            wait: Duration,
-        ) = error("not read in this test")
+        override suspend fun readConfiguration(read: SourceRead) = error("not read in this test")
 
         override fun decodeConfiguration(bytes: ByteArray) = error("not read in this test")
 
-        override suspend fun readServers(): PlatformReadResult<List<ServerListChange>> {
-            reads += "full"
-            return PlatformReadResult.Value(servers, 10)
-        }
-
-        override suspend fun awaitServers(
-            revision: Long,
-            wait: Duration,
-        ): PlatformReadResult<List<ServerListChange>> {
-            reads += "watch"
-            return PlatformReadResult.Value(emptyList(), revision)
-        }
+        override suspend fun readServers(read: SourceRead): PlatformReadResult<List<ServerListChange>> =
+            when (read) {
+                is SourceRead.Complete -> PlatformReadResult.Value(servers, 10).also { reads += "complete" }
+                is SourceRead.Watch -> PlatformReadResult.Value(emptyList<ServerListChange>(), read.revision).also { reads += "watch" }
+            }
     }
 
     private fun written(
