Pass on the age of the configuration too, counted from the read

The age was that of the list alone, counted from the arrival of the platform's answer: a reader whose answers were late, or whose reads of the configuration got none, kept its followers while its configuration was seconds old.

Reads of list and configuration are now decided together, each is confirmed at the earliest time at which its answer can have been taken, and the age that is passed on is that of the older one. SourceRelayTest and ServerListWatcherTest state it; they do not compile against the old code, which had no age of the configuration.

--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -148,7 +148,7 @@
         @SerialName("p") public val processStart: Long,
         /** How long the query was held before this answer was sent. */
         @SerialName("h") public val heldMilliseconds: Long,
-        /** The time since the platform confirmed the list of servers, or null when it never did. */
+        /** The age of what the node knows: the list and the configuration were both current that long ago. Null before the first answer. */
         @SerialName("a") public val ageMilliseconds: Long? = null,
         /** The revision of the list up to which [servers] is complete. */
         @SerialName("r") public val revision: Long = 0,
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -36,24 +36,39 @@
     private var revision = 0L
     private var published: Published? = null
 
-    /** When the platform last confirmed the list, or [Moment.DISTANT_PAST] before it did. */
+    /** The latest time at which the list is known to have been current, or [Moment.DISTANT_PAST] before there is one. */
     @Volatile
-    private var confirmedAt = Moment.DISTANT_PAST
+    private var listConfirmedAt = Moment.DISTANT_PAST
+
+    /** The latest time at which the configuration is known to have been the newest, or [Moment.DISTANT_PAST] before there is one. */
+    @Volatile
+    private var configurationConfirmedAt = Moment.DISTANT_PAST
+
+    /** The latest time at which all that this node passes on is known to have been current. */
+    private val confirmedAt: Moment get() = minOf(listConfirmedAt, configurationConfirmedAt)
 
     /** When another node last asked this one, or [Moment.DISTANT_PAST] before any did. */
     @Volatile
     var lastQueryAt: Moment = Moment.DISTANT_PAST
         private set
 
-    /** Records the [servers] in use according to the list up to [revision], which the platform confirmed at [confirmedAt]. */
+    /** Records that the list was current at the time [at]. */
+    fun listConfirmed(at: Moment) {
+        listConfirmedAt = at
+    }
+
+    /** Records that the configuration was the newest at the time [at]. */
+    fun configurationConfirmed(at: Moment) {
+        configurationConfirmedAt = at
+    }
+
+    /** Records the [servers] in use according to the list up to [revision]. */
     @Synchronized
     fun updateServers(
         servers: Collection<ServerListChange.Written>,
         revision: Long,
-        confirmedAt: Moment,
     ) {
         this.revision = revision
-        this.confirmedAt = confirmedAt
         if (journal.update(servers, revision)) changes.value++
     }
 
@@ -97,6 +112,7 @@
         uptime: Uptime,
     ): Frame.SourceUpdate {
         val now = clock.now()
+        val confirmedAt = confirmedAt
         val isKnown = confirmedAt != Moment.DISTANT_PAST
         return Frame.SourceUpdate(
             exchange = query.exchange,
@@ -115,7 +131,7 @@
     private fun newerThan(version: Long?): Published? = published?.takeIf { version == null || it.version > version }
 
     private companion object {
-        /** The age up to which the list counts as recent: longer than the interval of reads. */
+        /** The age up to which the data counts as recent: longer than the interval of reads. */
         val RECENT = 1_000.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -1,9 +1,5 @@
 package org.celeryusher.node.source
 
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.configuration.ConfigurationParser
 import org.celeryusher.kernel.distribution.ConfigurationSource
 import org.celeryusher.kernel.distribution.FloorSettings
@@ -27,7 +23,6 @@
 import java.util.zip.GZIPInputStream
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Puts each newer valid version of the platform's configuration in force, read from the platform or relayed by a peer. */
 internal class ConfigurationWatcher(
@@ -41,20 +36,23 @@
 ) {
     private val holder = VersionHolder(VersionFloor(clock.now(), settings.dataCentre, FloorSettings(waitLimit = Duration.ZERO)))
     private val schedule = WatchSchedule()
-    private val readRequests = Channel<Unit>(Channel.CONFLATED)
-    private val readsPlatform = MutableStateFlow(true)
     private var isSourceLost = false
-    private var revision: Long? = null
+    private var revision = 0L
 
+    /** The latest time at which this configuration is known to have been the newest one, or [Moment.DISTANT_PAST] before the first answer. */
     @Volatile
-    private var lastAnswer = Moment.DISTANT_PAST
+    var confirmedAt: Moment = Moment.DISTANT_PAST
+        private set(value) {
+            field = value
+            relay.configurationConfirmed(value)
+        }
 
-    /** Returns the time since the platform last answered, or null when it never did. */
-    fun age(now: Moment): Duration? = if (lastAnswer == Moment.DISTANT_PAST) null else now - lastAnswer
+    /** Returns the age of what this node knows, or null before the first answer. */
+    fun age(now: Moment): Duration? = if (confirmedAt == Moment.DISTANT_PAST) null else now - confirmedAt
 
-    /** Ends the current pause between reads. */
-    fun readSoon() {
-        readRequests.trySend(Unit)
+    /** Records that a peer had the newest configuration at the time [at]. */
+    fun confirmed(at: Moment) {
+        confirmedAt = at
     }
 
     /** Returns the configuration in force for the status page. */
@@ -90,11 +88,6 @@
             ?.digest
             ?.version
 
-    /** Sets whether [run] reads the platform; otherwise a peer relays the configuration. */
-    fun readsPlatform(isReading: Boolean) {
-        readsPlatform.value = isReading
-    }
-
     /** Offers the configuration that [peer] has relayed in its [compressed] form. */
     fun offerRelayed(
         compressed: ByteArray,
@@ -110,25 +103,26 @@
         offer(reader.decodeConfiguration(bytes), ConfigurationSource.Peer(peer), clock.now())
     }
 
-    /** Reads the platform until it has answered once, and then watches it while [readsPlatform] is set, until cancelled. */
-    suspend fun run() {
+    /** Reads the platform until there is an answer or a pause is due. Returns that pause, or null after an answer. */
+    suspend fun readPlatform(): Duration? {
         while (true) {
-            if (revision != null) readsPlatform.first { it }
-            val read = schedule.next(revision ?: 0)
-            val pause = handle(read, reader.readConfiguration(read))
-            if (pause.isPositive()) withTimeoutOrNull(pause) { readRequests.receive() }
+            val sentAt = clock.now()
+            val read = schedule.next(revision)
+            val pause = handle(read, reader.readConfiguration(read), sentAt)
+            if (pause != Duration.ZERO) return pause
         }
     }
 
-    /** Handles the result of one read; returns the pause before the next one. */
+    /** Handles the result of one read; returns the pause after a failure, or null after an answer. */
     private fun handle(
         read: SourceRead,
         reading: PlatformReadResult<PublishedConfiguration?>,
-    ): Duration =
+        sentAt: Moment,
+    ): Duration? =
         when (reading) {
             is PlatformReadResult.Value -> {
-                handleAnswer(read, reading)
-                READ_INTERVAL
+                handleAnswer(read, reading, sentAt)
+                null
             }
 
             is PlatformReadResult.HistoryGone -> {
@@ -146,13 +140,14 @@
     private fun handleAnswer(
         read: SourceRead,
         reading: PlatformReadResult.Value<PublishedConfiguration?>,
+        sentAt: Moment,
     ) {
         if (isSourceLost) decisions.record("source", "configuration regained", "the platform answers", "revision" to reading.revision)
         isSourceLost = false
-        lastAnswer = clock.now()
-        schedule.answered(read, reading.value != null, lastAnswer, lastAnswer)
-        reading.value?.let { offer(it, ConfigurationSource.Platform, lastAnswer) }
+        val now = clock.now()
+        reading.value?.let { offer(it, ConfigurationSource.Platform, now) }
         revision = reading.revision
+        confirmedAt = schedule.answered(read, reading.value != null, sentAt, now)
     }
 
     @Synchronized
@@ -178,6 +173,7 @@
                     "before" to decision.previous?.version,
                     "bytes" to published.bytes.size,
                     "source" to source,
+                    "confirmedBefore" to age(now),
                 )
                 relay.updateConfiguration(snapshot.digest.version, published.bytes)
             }
@@ -198,9 +194,6 @@
     }
 
     private companion object {
-        /** The pause after an answer, so that changes in quick succession are read together. */
-        val READ_INTERVAL = 400.milliseconds
-
         /** Limits the size of a relayed configuration; the platform's largest value has one megabyte. */
         const val MAXIMUM_BYTES = 16 * 1_024 * 1_024
     }
--- a/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
@@ -57,15 +57,14 @@
     override val needsRefresh: Boolean
         get() {
             val now = clock.now()
-            return (now < refreshUntil && servers.lastAnswer < refreshUntil - REFRESH_LIMIT) ||
+            return (now < refreshUntil && servers.confirmedAt < refreshUntil - REFRESH_LIMIT) ||
                 now - lastTick > TICK_INTERVAL + PAUSE_THRESHOLD
         }
 
     override suspend fun start(scope: CoroutineScope) {
         scope.coroutineContext[Job]?.invokeOnCompletion { job.cancel() }
         lastTick = clock.now()
-        this.scope.launch { keepRunning("configuration", configuration::run) }
-        this.scope.launch { keepRunning("server list", follower::run) }
+        this.scope.launch { keepRunning("platform", follower::run) }
         this.scope.launch { keepRunning("pauses", ::watchForPauses) }
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -22,7 +22,6 @@
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Keeps the platform's list of backend servers, read from the platform or relayed by a peer, and derives the membership view of this node from it. */
 internal class ServerListWatcher(
@@ -40,31 +39,35 @@
     private var isSourceLost = false
     private var loggedDeferrals: Set<InstanceName> = emptySet()
 
-    /** The time of the last answer from the platform, or [Moment.DISTANT_PAST] before the first one. */
+    /** The latest time at which this list is known to have been current, or [Moment.DISTANT_PAST] before the first answer. */
     @Volatile
-    var lastAnswer: Moment = Moment.DISTANT_PAST
-        private set
+    var confirmedAt: Moment = Moment.DISTANT_PAST
+        private set(value) {
+            field = value
+            relay.listConfirmed(value)
+        }
 
     /** The revision of the list that is held, or null before the first answer. */
     @Volatile
     var revision: Long? = null
         private set
 
-    /** Returns the time since the platform last answered, or null when it never did. */
-    fun age(now: Moment): Duration? = if (lastAnswer == Moment.DISTANT_PAST) null else now - lastAnswer
+    /** Returns the age of what this node knows, or null before the first answer. */
+    fun age(now: Moment): Duration? = if (confirmedAt == Moment.DISTANT_PAST) null else now - confirmedAt
 
     /** Ends the current pause between reads. */
     fun readSoon() {
         readRequests.trySend(Unit)
     }
 
-    /** Reads the platform once. Returns the pause after a failure, or null after a success and the interval that follows it. */
+    /** Reads the platform until there is an answer or a pause is due. Returns that pause, or null after an answer. */
     suspend fun readPlatform(): Duration? {
-        val startedAt = clock.now()
-        val read = schedule.next(directory.revision)
-        val pause = handle(read, reader.readServers(read))
-        if (pause == null) waitUntil(startedAt + READ_INTERVAL)
-        return pause
+        while (true) {
+            val sentAt = clock.now()
+            val read = schedule.next(directory.revision)
+            val pause = handle(read, reader.readServers(read), sentAt)
+            if (pause != Duration.ZERO) return pause
+        }
     }
 
     /** Applies [changes] that a peer has read from the list up to [listRevision]. */
@@ -87,6 +90,7 @@
         at: Moment,
     ) {
         recordAnswer(listRevision, "a peer answers", at)
+        confirmedAt = at
         directory.advanceTo(listRevision)
         // A peer keeps servers whose entries expired in an outage for a while. Should it fail before it reports their removal, a watch from
         // this revision would never return it.
@@ -99,11 +103,12 @@
     private fun handle(
         read: SourceRead,
         reading: PlatformReadResult<List<ServerListChange>>,
+        sentAt: Moment,
     ): Duration? {
         val now = clock.now()
         return when (reading) {
             is PlatformReadResult.Value -> {
-                handleAnswer(read, reading, now)
+                handleAnswer(read, reading, sentAt, now)
                 null
             }
 
@@ -123,10 +128,11 @@
     private fun handleAnswer(
         read: SourceRead,
         reading: PlatformReadResult.Value<List<ServerListChange>>,
+        sentAt: Moment,
         now: Moment,
     ) {
         recordAnswer(reading.revision, "the platform answers", now)
-        schedule.answered(read, reading.value.isNotEmpty(), now, now)
+        confirmedAt = schedule.answered(read, reading.value.isNotEmpty(), sentAt, now)
         when (read) {
             is SourceRead.Complete -> {
                 directory.replaceAll(reading.value.filterIsInstance<ServerListChange.Written>(), reading.revision, now)
@@ -149,7 +155,6 @@
         if (isSourceLost) decisions.record("source", "list regained", reason, "revision" to listRevision)
         isSourceLost = false
         directory.sourceAnswered(at)
-        lastAnswer = at
     }
 
     private fun handleFailure(
@@ -176,7 +181,7 @@
 
     private fun publish(now: Moment) {
         val entries = directory.entriesInUse(now)
-        relay.updateServers(entries, directory.revision, lastAnswer)
+        relay.updateServers(entries, directory.revision)
         logDeferredRemovals(now)
         val members = entries.map { it.server }.sortedBy { it.instance }.map(::memberOf)
         val before = routing.current.view.members
@@ -187,7 +192,7 @@
                 change,
                 "the platform's list",
                 "revision" to directory.revision,
-                "confirmedBefore" to now - lastAnswer,
+                "confirmedBefore" to age(now),
             )
         }
         routing.updateView(MembershipView(members))
@@ -225,13 +230,4 @@
             state = if (server.state == ListedServerState.READY) MemberState.LIVE else MemberState.LEAVING,
             slots = server.slots,
         )
-
-    private companion object {
-        /**
-         * The minimum time between two reads.
-         *
-         * Heartbeats change the list many times a second. A change reaches this node and, through it, others well within the drain limit.
-         */
-        val READ_INTERVAL = 400.milliseconds
-    }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -1,10 +1,15 @@
 package org.celeryusher.node.source
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import org.celeryusher.kernel.distribution.SourceChoice
 import org.celeryusher.kernel.distribution.SourceSchedule
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.Frame
 import org.celeryusher.node.call.SourceRelay
 import org.celeryusher.node.log.DecisionLog
@@ -36,6 +41,7 @@
     private val schedule = SourceSchedule()
     private var cursor: Cursor? = null
     private var lastSource: String? = null
+    private var configurationRead: Deferred<Duration?>? = null
 
     /** The position in the change numbers of one process of a peer. */
     private data class Cursor(
@@ -47,31 +53,47 @@
     fun readPlatformSoon() {
         synchronized(schedule) { schedule.resumed() }
         servers.readSoon()
-        configuration.readSoon()
     }
 
     /** Follows the platform until cancelled. */
-    suspend fun run() {
-        while (true) {
-            val view = routing.current.view
-            val choice =
-                synchronized(schedule) {
-                    schedule.queried(relay.lastQueryAt)
-                    schedule.choose(view, view.members.firstOrNull { it.serverAddress == backendServer }?.instance, clock.now())
-                }
-            configuration.readsPlatform(choice == SourceChoice.Platform)
-            when (choice) {
-                is SourceChoice.Platform -> readPlatform()
-                is SourceChoice.Peer -> ask(choice.member)
-                is SourceChoice.WaitUntil -> servers.waitUntil(choice.moment)
+    suspend fun run(): Unit =
+        coroutineScope {
+            configurationRead = null
+            while (true) readNext(this)
+        }
+
+    private suspend fun readNext(scope: CoroutineScope) {
+        val view = routing.current.view
+        val choice =
+            synchronized(schedule) {
+                schedule.queried(relay.lastQueryAt)
+                schedule.choose(view, view.members.firstOrNull { it.serverAddress == backendServer }?.instance, clock.now())
             }
+        when (choice) {
+            is SourceChoice.Platform -> readPlatform(scope)
+            is SourceChoice.Peer -> ask(choice.member)
+            is SourceChoice.WaitUntil -> servers.waitUntil(choice.moment)
         }
     }
 
-    private suspend fun readPlatform() {
+    /** Reads list and configuration at the same time. A read of the configuration that takes longer does not delay the next one of the list. */
+    private suspend fun readPlatform(scope: CoroutineScope) {
         logSource("the platform")
-        val pause = servers.readPlatform()
-        synchronized(schedule) { if (pause == null) schedule.platformAnswered() else schedule.platformFailed(pause, clock.now()) }
+        val startedAt = clock.now()
+        val configurationRead = configurationRead ?: scope.async { configuration.readPlatform() }.also { configurationRead = it }
+        val listPause = servers.readPlatform()
+        if (listPause == null) servers.waitUntil(startedAt + READ_INTERVAL)
+        var configurationPause: Duration? = null
+        if (configurationRead.isCompleted) {
+            configurationPause = configurationRead.await()
+            this.configurationRead = null
+        }
+        val pause = listOfNotNull(listPause, configurationPause).maxOrNull()
+        if (pause != null) {
+            synchronized(schedule) { schedule.platformFailed(pause, clock.now()) }
+        } else if (configuration.confirmedAt != Moment.DISTANT_PAST) {
+            synchronized(schedule) { schedule.platformAnswered() }
+        }
     }
 
     private suspend fun ask(peer: Member) {
@@ -88,7 +110,10 @@
         val confirmedAt = update.ageMilliseconds?.let { sentAt + (update.heldMilliseconds - it).milliseconds }
         val isRecent = synchronized(schedule) { schedule.peerAnswered(peer.instance, confirmedAt, clock.now()) }
         apply(update, peer.instance)
-        if (isRecent && confirmedAt != null) servers.confirmed(update.revision, confirmedAt)
+        if (isRecent && confirmedAt != null) {
+            servers.confirmed(update.revision, confirmedAt)
+            configuration.confirmed(confirmedAt)
+        }
         if (isRecent) servers.waitUntil(sentAt + QUERY_INTERVAL)
     }
 
@@ -109,6 +134,13 @@
     }
 
     private companion object {
+        /**
+         * The minimum time between two reads of the platform.
+         *
+         * Heartbeats change the list many times a second. A change reaches this node and, through it, others well within the drain limit.
+         */
+        val READ_INTERVAL = 400.milliseconds
+
         /** How long a peer holds a query while nothing changes. A peer that fails silently is noticed after this time and the margin. */
         val QUERY_WAIT = 700.milliseconds
 
--- /dev/null
+++ b/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
@@ -0,0 +1,43 @@
+package org.celeryusher.node.call
+
+import kotlinx.coroutines.runBlocking
+import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.time.Moment
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Guards against a node that keeps following a reader whose data has grown old. */
+class SourceRelayTest {
+    private val start = Moment(0)
+    private var now = start
+
+    @Test
+    fun theAgeOfAnAnswerIsThatOfTheOlderOfListAndConfiguration() {
+        data class Case(
+            val name: String,
+            val listConfirmedAt: Int?,
+            val configurationConfirmedAt: Int?,
+            val expectedAge: Long?,
+        )
+        val cases =
+            listOf(
+                Case("nothing known", null, null, null),
+                Case("no configuration yet", 5_000, null, null),
+                Case("no list yet", null, 5_000, null),
+                Case("both recent", 4_900, 4_800, 200),
+                Case("old configuration", 4_900, 1_000, 4_000),
+                Case("old list", 1_000, 4_900, 4_000),
+            )
+        for (case in cases) {
+            now = start
+            val relay = SourceRelay { now }
+            case.listConfirmedAt?.let { relay.listConfirmed(start + it.milliseconds) }
+            case.configurationConfirmedAt?.let { relay.configurationConfirmed(start + it.milliseconds) }
+            now = start + 5_000.milliseconds
+            val query = Frame.SourceQuery(1, processStart = 1, cursor = 0, version = null, waitMilliseconds = 0)
+            val update = runBlocking { relay.answer(query, processStart = 1) { Uptime(0) } }
+            assertEquals(case.expectedAge, update.ageMilliseconds, case.name)
+        }
+    }
+}
--- a/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
@@ -11,6 +11,7 @@
 import org.celeryusher.kernel.membership.ListedServerState
 import org.celeryusher.kernel.membership.ServerListChange
 import org.celeryusher.kernel.membership.ServerListChanges
+import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.SourceRelay
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
@@ -21,6 +22,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Guards against a server that stays in use because neither a peer nor the platform reports its removal to this node. */
 class ServerListWatcherTest {
@@ -51,6 +53,20 @@
             assertEquals(listOf("complete"), platform.reads)
         }
 
+    /** Guards against an answer of the platform that was delayed and is passed on as if it were recent. */
+    @Test
+    fun theListIsConfirmedAtTheTimeAtWhichItsReadWasSent() =
+        runBlocking {
+            var now = Moment(0)
+            val slowClock = ProcessClock { now }
+            val platform = FakeReader(listOf(written("a", 3))) { now += 1.seconds }
+            val relay = SourceRelay(slowClock)
+            val watcher = ServerListWatcher(settings, platform, routing, slowClock, Random(1), DecisionLog(instance, slowClock), relay)
+            watcher.readPlatform()
+            assertEquals(Moment(0), watcher.confirmedAt)
+            assertEquals(1.seconds, watcher.age(now))
+        }
+
     private fun names(): List<String> =
         routing.current.view.members
             .map { it.instance.value }
@@ -58,6 +74,7 @@
 
     private class FakeReader(
         private val servers: List<ServerListChange.Written>,
+        private val onRead: () -> Unit = {},
     ) : PlatformReader {
         val reads = mutableListOf<String>()
 
@@ -65,11 +82,13 @@
 
         override fun decodeConfiguration(bytes: ByteArray) = error("not read in this test")
 
-        override suspend fun readServers(read: SourceRead): PlatformReadResult<List<ServerListChange>> =
-            when (read) {
+        override suspend fun readServers(read: SourceRead): PlatformReadResult<List<ServerListChange>> {
+            onRead()
+            return when (read) {
                 is SourceRead.Complete -> PlatformReadResult.Value(servers, 10).also { reads += "complete" }
                 is SourceRead.Watch -> PlatformReadResult.Value(emptyList<ServerListChange>(), read.revision).also { reads += "watch" }
             }
+        }
     }
 
     private fun written(
