Defer removals after an outage of the platform, not of one node's reads

What the report saw: a request reached a server after it had left. A node kept a server whose entry was removed for up to two seconds after its own reads had recovered, so that entries that expire in an outage do not empty the table. One read without an answer was enough for that, and a reader passed the deferred list on to nodes that had no trouble. 2 s is the whole bound for such a server.

Removals are now deferred only if neither this node nor another one had an answer for 1.5 s, too short for an entry to expire, and a reader passes on the list as the platform has it, so that each node defers for its own reasons. ServerDirectoryTest.aRemovalIsDeferredOnlyAfterAnOutageOfThePlatform fails with the limit at zero, which is the old rule.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerDirectory.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerDirectory.kt
@@ -3,6 +3,7 @@
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.time.Moment
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -13,10 +14,12 @@
  *
  * Entries of running servers expire while the platform is unavailable. A removal that is received soon after an outage is therefore
  * deferred: the server stays in use until [expiryGrace] after the platform's recovery, and is removed if its entry has not been written
- * again by then.
+ * again by then. Failed reads of this node alone are no outage: no removal is deferred if another node, or this one, had an answer within
+ * [minimumOutage], since no entry can have expired in such a short time.
  */
 public class ServerDirectory(
     private val expiryGrace: Duration = DEFAULT_EXPIRY_GRACE,
+    private val minimumOutage: Duration = DEFAULT_MINIMUM_OUTAGE,
 ) {
     private class Entry(
         val written: ServerListChange.Written?,
@@ -27,24 +30,23 @@
 
     private val entries = HashMap<InstanceName, Entry>()
     private var isSourceUnavailable = false
-    private var outageStartedAt: Moment? = null
+    private var answeredAt = Moment.DISTANT_PAST
     private var recoveredAt = Moment.DISTANT_PAST
 
     /** The highest revision of the list up to which changes have been applied. */
     public var revision: Long = 0
         private set
 
-    /** Records that the platform did not answer at [now]. */
-    public fun sourceFailed(now: Moment) {
-        if (!isSourceUnavailable) outageStartedAt = now
+    /** Records that the platform did not answer this node. */
+    public fun sourceFailed() {
         isSourceUnavailable = true
     }
 
-    /** Records that the platform answered at [now]. Call this before the content of the answer is applied. */
+    /** Records that the platform answered this node or another one at [now]. Call this before the content of the answer is applied. */
     public fun sourceAnswered(now: Moment) {
-        if (!isSourceUnavailable) return
+        if (isSourceUnavailable && now - answeredAt >= minimumOutage) recoveredAt = now
         isSourceUnavailable = false
-        recoveredAt = now
+        answeredAt = maxOf(answeredAt, now)
     }
 
     /** Applies [change], unless a later change of the same entry is known. */
@@ -87,6 +89,9 @@
     /** Returns the servers in use at [now]; of several servers with one address, only the one whose entry was created last. */
     public fun servers(now: Moment): List<ListedServer> = entriesInUse(now).map { it.server }
 
+    /** The entries that exist, without those of servers that stay in use after an outage: each node decides about these for itself. */
+    public val listedEntries: List<ServerListChange.Written> get() = entries.values.filter { it.removeAt == null }.mapNotNull { it.written }
+
     /** Returns the entries of the servers in use at [now], as [servers] does. */
     public fun entriesInUse(now: Moment): List<ServerListChange.Written> =
         entries.values
@@ -109,7 +114,7 @@
         now: Moment,
     ) {
         val known = entries[instance]
-        val isExpiry = known?.written != null && known.removeAt == null && outageStartedAt != null && now < recoveredAt + expiryGrace
+        val isExpiry = known?.written != null && known.removeAt == null && now < recoveredAt + expiryGrace
         entries[instance] = if (isExpiry) Entry(known.written, revision, recoveredAt + expiryGrace) else Entry(null, revision)
         discardOldRemovals()
     }
@@ -136,6 +141,9 @@
         /** The platform guarantees that the entries of running servers are written again about two seconds after its recovery. */
         val DEFAULT_EXPIRY_GRACE = 2.seconds
 
+        /** An entry expires after three heartbeats without a write, of which at least two fall into the outage. */
+        val DEFAULT_MINIMUM_OUTAGE = 1_500.milliseconds
+
         /** Limits the memory for removed entries; a fleet of the design size has 1,600 servers. */
         const val MAXIMUM_ENTRIES = 8_192
     }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerListJournal.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ServerListJournal.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration
 
 /**
- * Numbers the changes of the servers in use at one node, so that the node can tell another one what has changed since they last talked.
+ * Numbers the changes of the list of servers at one node, so that the node can tell another one what has changed since they last talked.
  *
  * Servers rewrite their entries at every heartbeat. Only changes that matter for placing calls are numbered, which keeps the messages
  * between nodes small: their size follows the number of changes instead of the number of servers.
@@ -22,7 +22,7 @@
     public var latest: Long = 0
         private set
 
-    /** Records that [servers] are in use and that the list was read up to [revision]. Returns whether anything changed that matters. */
+    /** Records that the list has [servers] and was read up to [revision]. Returns whether anything changed that matters. */
     public fun update(
         servers: Collection<ServerListChange.Written>,
         revision: Long,
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/membership/ServerDirectoryTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/membership/ServerDirectoryTest.kt
@@ -70,8 +70,8 @@
     fun entriesThatExpiredInAnOutageStayUntilTheGracePeriodEnds() {
         val directory = ServerDirectory(expiryGrace = 2.seconds)
         listOf("a" to 1, "b" to 2).forEach { (name, port) -> directory.apply(written(name, 5, port = port), start) }
-        directory.sourceFailed(start + 1.seconds)
-        directory.sourceFailed(start + 5.seconds)
+        directory.sourceFailed()
+        directory.sourceFailed()
         val recoveredAt = start + 9.seconds
         directory.sourceAnswered(recoveredAt)
         directory.apply(removed("a", 7), recoveredAt)
@@ -88,7 +88,7 @@
     fun aFullReadAfterAnOutageDefersRemovalsToo() {
         val directory = ServerDirectory()
         directory.apply(written("a", 5), start)
-        directory.sourceFailed(start)
+        directory.sourceFailed()
         directory.sourceAnswered(start + 9.seconds)
         directory.replaceAll(emptyList(), startRevision = 40, start + 9.seconds)
         assertEquals(listOf("a READY"), directory.describe(start + 10.seconds))
@@ -108,6 +108,39 @@
         }
     }
 
+    /** Guards against a server that stays in use for two seconds after it has left, because one read of this node failed. */
+    @Test
+    fun aRemovalIsDeferredOnlyAfterAnOutageOfThePlatform() {
+        data class Case(
+            val name: String,
+            /** The milliseconds of the answers to this node and to others around the failure at 0. */
+            val answers: List<Int>,
+            val isDeferred: Boolean,
+        )
+        val cases =
+            listOf(
+                Case("one failed read", listOf(-400, 100), isDeferred = false),
+                Case("a watch without an answer", listOf(-800, 500), isDeferred = false),
+                Case("other nodes had answers all the while", listOf(-400, 600, 1_400, 2_200, 3_000, 3_800), isDeferred = false),
+                Case("no node had an answer", listOf(-400, 3_800), isDeferred = true),
+                Case("a short outage", listOf(-400, 1_100), isDeferred = true),
+            )
+        for (case in cases) {
+            val directory = ServerDirectory()
+            val failedAt = start + 10.seconds
+            val answers = case.answers.map { failedAt + it.milliseconds }
+            directory.sourceAnswered(answers.first())
+            directory.apply(written("a", 5), answers.first())
+            answers.drop(1).forEach {
+                directory.sourceFailed()
+                directory.sourceAnswered(it)
+            }
+            directory.apply(removed("a", 6), answers.last())
+            assertEquals(if (case.isDeferred) listOf("a READY") else emptyList(), directory.describe(answers.last()), case.name)
+            assertEquals(emptyList(), directory.listedEntries, "${case.name}: other nodes hear of the removal")
+        }
+    }
+
     private fun ServerDirectory.describe(now: Moment): List<String> = servers(now).map { "${it.instance} ${it.state}" }.sorted()
 
     private fun removed(
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -62,7 +62,7 @@
         configurationConfirmedAt = at
     }
 
-    /** Records the [servers] in use according to the list up to [revision]. */
+    /** Records the [servers] of the list up to [revision]. */
     @Synchronized
     fun updateServers(
         servers: Collection<ServerListChange.Written>,
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -70,6 +70,12 @@
         }
     }
 
+    /** Records that a peer had an answer of the platform at the time [at]. Call this before the changes in its answer are applied. */
+    fun peerAnswered(
+        listRevision: Long,
+        at: Moment,
+    ): Unit = recordAnswer(listRevision, "a peer answers", at)
+
     /** Applies [changes] that a peer has read from the list up to [listRevision]. */
     fun applyRelayed(
         changes: ServerListChanges,
@@ -89,11 +95,9 @@
         listRevision: Long,
         at: Moment,
     ) {
-        recordAnswer(listRevision, "a peer answers", at)
         confirmedAt = at
         directory.advanceTo(listRevision)
-        // A peer keeps servers whose entries expired in an outage for a while. Should it fail before it reports their removal, a watch from
-        // this revision would never return it.
+        // A watch from this revision would never return a change that the peer has not passed on.
         schedule.relayed()
         revision = directory.revision
         publish(clock.now())
@@ -163,7 +167,7 @@
     ) {
         if (!isSourceLost) decisions.record("source", "list lost", reading.reason, "revision" to directory.revision)
         isSourceLost = true
-        directory.sourceFailed(now)
+        directory.sourceFailed()
         publish(now)
     }
 
@@ -181,7 +185,7 @@
 
     private fun publish(now: Moment) {
         val entries = directory.entriesInUse(now)
-        relay.updateServers(entries, directory.revision)
+        relay.updateServers(directory.listedEntries, directory.revision)
         logDeferredRemovals(now)
         val members = entries.map { it.server }.sortedBy { it.instance }.map(::memberOf)
         val before = routing.current.view.members
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -109,6 +109,7 @@
         // The age counts from the earliest time at which the peer can have answered, so that a delayed answer does not seem recent.
         val confirmedAt = update.ageMilliseconds?.let { sentAt + (update.heldMilliseconds - it).milliseconds }
         val isRecent = synchronized(schedule) { schedule.peerAnswered(peer.instance, confirmedAt, clock.now()) }
+        if (isRecent && confirmedAt != null) servers.peerAnswered(update.revision, confirmedAt)
         apply(update, peer.instance)
         if (isRecent && confirmedAt != null) {
             servers.confirmed(update.revision, confirmedAt)
