Obey the limit on requests a second that a backend server states

Cause: nothing read the header; the guard admitted by slots, of which a limited server still has six.

All calls to a server pass its guard, so the guard starts calls from a token bucket at the stated rate and the limit holds for all proxies without a message between them. Calls wait for a token as for a slot, and are refused at once if they would wait too long. Load reports carry the limit: proxies draw a limited server in proportion to what it takes, and count its wait.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/AdmissionController.kt
@@ -22,6 +22,7 @@
     private val ranks = RankStates<Key>(policy)
     private val calls = HashMap<Key, AdmissionCall<Key>>()
     private val exclusive = ExclusiveCalls<Key>()
+    private val rate = RateLimit()
     private var running = 0
     private var capacity = limit.at(now)
     private var lastEventAt = now
@@ -53,7 +54,7 @@
                 drainStartedAt != null -> refuse(call, RefusalCause.DRAINING, Duration.ZERO)
                 request.deadline <= moment -> refuse(call, RefusalCause.DEADLINE_UNREACHABLE, Duration.ZERO)
                 request.isExclusive -> enqueueExclusive(call)
-                hasFreeSlot() -> start(call, StartReason.FREE_SLOT, moment)
+                hasFreeSlot(moment) -> start(call, StartReason.FREE_SLOT, moment)
                 else -> enqueue(call, moment)
             }
         }
@@ -94,6 +95,21 @@
             refuseAllQueued(exclusive.queue)
         }
 
+    /** Handles what the backend server has stated about itself in an answer: its limit on calls a second, or that it drains. */
+    public fun serverNoticed(
+        notice: ServerNotice,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> {
+        val drained = if (notice.isLeaving) drain(now) else emptyList()
+        return drained + handle(now) { moment -> rate.state(notice.requestsPerSecond, moment) }
+    }
+
+    /** Handles the limit on calls a second that a proxy knows of. It counts until the backend server itself has answered. */
+    public fun rateSuggested(
+        callsPerSecond: Double?,
+        now: Moment,
+    ): List<AdmissionDecision<Key>> = handle(now) { moment -> rate.suggest(callsPerSecond, moment) }
+
     /** Replaces the policy, and refuses queued calls that exceed the queue capacity of the new one. */
     public fun changePolicy(
         changed: AdmissionPolicy,
@@ -113,6 +129,7 @@
     public fun serverStarted(now: Moment): List<AdmissionDecision<Key>> =
         handle(now) { moment ->
             drainStartedAt = null
+            rate.reset()
             limit.serverStarted(moment)
             capacity = limit.at(moment)
         }
@@ -125,7 +142,10 @@
         val dueTimes =
             ranks.all.flatMap { rank -> rank.queue.expiryCandidates().map { it.latestStart(lastEventAt) } } +
                 exclusive.dueTimes() +
-                listOfNotNull(nextSlowStartStep().takeIf { ranks.queued > 0 })
+                listOfNotNull(
+                    nextSlowStartStep().takeIf { ranks.queued > 0 },
+                    nextPermit().takeIf { ranks.queued + exclusive.queue.size > 0 },
+                )
         return dueTimes.minOrNull()?.let { maxOf(it, lastEventAt) }
     }
 
@@ -133,14 +153,15 @@
     public fun load(now: Moment): GuardLoad {
         val moment = maxOf(now, lastEventAt)
         val rankLoads = if (drainStartedAt == null) ranks.all.map { rankLoad(it, moment) } else emptyList()
-        return GuardLoad(limit.at(moment), running, ranks.queued + exclusive.queue.size, rankLoads)
+        val startable = rate.permits(moment)?.let { running + it } ?: Int.MAX_VALUE
+        return GuardLoad(minOf(limit.at(moment), startable), running, ranks.queued + exclusive.queue.size, rankLoads, rate.perSecond)
     }
 
     private fun rankLoad(
         rank: RankState<Key>,
         now: Moment,
     ): RankLoad {
-        val wait = if (hasFreeSlot()) Duration.ZERO else expectedWait(rank, isLate = false, now)
+        val wait = if (hasFreeSlot(now)) Duration.ZERO else expectedWait(rank, isLate = false, now)
         return RankLoad(wait.inWholeMilliseconds, ranks.hasCapacityFor(rank, isLate = false, now), serviceTimeOf(rank, now))
     }
 
@@ -159,11 +180,11 @@
         return decisions.also { decisions = ArrayList() }
     }
 
-    private fun hasFreeSlot(): Boolean = running < capacity && !exclusive.blocksOthers
+    private fun hasFreeSlot(now: Moment): Boolean = running < capacity && !exclusive.blocksOthers && rate.permits(now) != 0
 
     private fun startQueued(now: Moment) {
-        exclusive.startNext(running, ranks.queued, now)?.let { start(it, StartReason.ALONE, now) }
-        while (hasFreeSlot()) {
+        if (rate.permits(now) != 0) exclusive.startNext(running, ranks.queued, now)?.let { start(it, StartReason.ALONE, now) }
+        while (hasFreeSlot(now)) {
             val (rank, reason) = ranks.next() ?: return
             val call = rank.queue.firstToStart() ?: return
             start(call, reason, now)
@@ -176,6 +197,7 @@
         now: Moment,
     ) {
         decisions += AdmissionDecision.Start(call.request.key, inputs(call.rank), now - call.arrivedAt, reason)
+        rate.take(now)
         ranks.start(call, reason, capacity, now)
         queueOf(call).remove(call)
         calls[call.request.key] = call
@@ -279,7 +301,12 @@
         rank: RankState<Key>,
         isLate: Boolean,
         now: Moment,
-    ): Duration = ranks.expectedWait(rank, isLate, capacity, now).toDurationNanoseconds()
+    ): Duration {
+        val forSlot = ranks.expectedWait(rank, isLate, capacity, now).toDurationNanoseconds()
+        return maxOf(forSlot, rate.permittedAt(ranks.callsBefore(rank, isLate) + 1, now) - now)
+    }
+
+    private fun nextPermit(): Moment? = rate.permittedAt(1, lastEventAt).takeIf { it > lastEventAt && running < capacity }
 
     private fun nextSlowStartStep(): Moment? {
         val end = limit.slowStartEndsAt()
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.celeryusher.kernel.identity.InstanceName
 
 /**
  * The exact load of one backend server, as counted by its guard, the admission control in front of it.
@@ -10,12 +11,16 @@
  */
 @Serializable
 public data class GuardLoad(
-    /** The current concurrency limit: the declared slots, or fewer. */
+    /** The number of calls that may run now: the declared slots, or fewer. */
     @SerialName("m") public val limit: Int,
     @SerialName("r") public val running: Int,
     @SerialName("q") public val queued: Int,
     /** The load of each rank, the most urgent first; empty while the backend server drains. */
     @SerialName("k") public val ranks: List<RankLoad>,
+    /** The number of calls a second that the backend server has stated as its limit, or null if it has stated none. */
+    @SerialName("p") public val callsPerSecond: Double? = null,
+    /** The backend server that has stated that it is leaving, or null if it has not. */
+    @SerialName("l") public val leavingServer: InstanceName? = null,
 ) {
     /** Returns whether the guard would start or queue a call of the rank at [rankPosition] whose deadline allows for the estimated wait. */
     public fun accepts(rankPosition: Int): Boolean = ranks.getOrElse(rankPosition) { ranks.lastOrNull() }?.accepting ?: false
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankStates.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/RankStates.kt
@@ -166,6 +166,21 @@
         return if (guaranteed > 0.0) minOf(byUrgency, (rank.debt() + ownWork) / guaranteed) else byUrgency
     }
 
+    /** Returns the number of queued calls that start before a call of [rank] that arrives now, if the order is by urgency. */
+    fun callsBefore(
+        rank: RankState<Key>,
+        isLate: Boolean,
+    ): Int =
+        states.filter { isLate || it.position <= rank.position }.sumOf {
+            if (isLate &&
+                it.position <= rank.position
+            ) {
+                it.queue.size
+            } else {
+                it.queue.onTimeSize
+            }
+        }
+
     /** Applies [policy]. Queued calls of a rank that it no longer has move to the least urgent rank. */
     fun changePolicy(policy: AdmissionPolicy) {
         val before = states.associateBy { it.policy.name }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/BackendServerChooser.kt
@@ -64,12 +64,15 @@
         tried: Set<InstanceName>,
         ejected: Set<InstanceName>,
     ): List<Member> {
-        val untried = route.endpoints.filter { it.instance !in tried && it.state != MemberState.LEAVING && it.state != MemberState.DEAD }
+        val untried = route.endpoints.filter { it.instance !in tried && isServing(it) }
         val live = untried.filter { it.state == MemberState.LIVE }
         val notEjected = live.filter { it.instance !in ejected }
         return notEjected.ifEmpty { live }.ifEmpty { untried }
     }
 
+    private fun isServing(member: Member): Boolean =
+        member.state != MemberState.LEAVING && member.state != MemberState.DEAD && !loads[member.instance].isLeaving
+
     /** Returns the median latency without the network round trip: the service time assumed when the guard of an endpoint reported none. */
     private fun medianServiceTime(endpoints: List<Member>): Duration? {
         val latencies = endpoints.mapNotNull { member -> loads[member.instance].latency?.let { it - roundTripTo(member) } }.sorted()
@@ -128,9 +131,12 @@
             return SelectedCandidate(pair.first(), pair.drop(1), ChoiceReason.SOONER_OF_TWO)
         }
 
-        /** Draws one of [members] at random. The weight of an endpoint in slow start grows with its age. */
+        /**
+         * Draws one of [members] at random. The weight of an endpoint in slow start grows with its age, and that of an endpoint that has
+         * stated a limit on calls a second is the share of its calls that the limit allows.
+         */
         private fun drawWeighted(members: List<Member>): Member {
-            val weights = members.map { loads[it.instance].slowStartShare(slowStart, now) }
+            val weights = members.map { loads[it.instance].slowStartShare(slowStart, now) * rateShareOf(it) }
             var remaining = random.nextDouble() * weights.sum()
             members.forEachIndexed { index, member ->
                 remaining -= weights[index]
@@ -139,6 +145,12 @@
             return members.last()
         }
 
+        private fun rateShareOf(member: Member): Double {
+            val statistics = loads[member.instance]
+            if (statistics.callsPerSecond == null) return 1.0
+            return statistics.rateShare(context.slots, EndpointCost.serviceTimeOf(statistics, context))
+        }
+
         private fun candidate(member: Member): Candidate =
             Candidate(member, EndpointCost.of(loads[member.instance], context, roundTripTo(member), now, transferCostTo(member)))
 
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointCost.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointCost.kt
@@ -8,6 +8,7 @@
 import kotlin.math.roundToLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The expected time of a call to an endpoint. */
 public data class EndpointCost(
@@ -46,7 +47,7 @@
             now: Moment,
             transferCost: Duration = Duration.ZERO,
         ): EndpointCost {
-            val service = guardServiceTime(statistics, context) ?: context.medianServiceTime ?: DEFAULT_SERVICE_TIME
+            val service = serviceTimeOf(statistics, context)
             val guardLoadWeight = guardLoadFreshness(statistics, now)
             val reported = credibleReportedLoad(statistics, context.slots, service + roundTrip, now) * (1 - guardLoadWeight)
             val waiting =
@@ -56,6 +57,12 @@
             return EndpointCost(load, maxOf(waiting, excessLatency(statistics, service, roundTrip, now)), service, roundTrip, transferCost)
         }
 
+        /** Returns the expected service time of the rank on this server. */
+        internal fun serviceTimeOf(
+            statistics: EndpointStatistics,
+            context: CostContext,
+        ): Duration = guardServiceTime(statistics, context) ?: context.medianServiceTime ?: DEFAULT_SERVICE_TIME
+
         /** Returns the service time of the rank on this server, as measured by its guard: servers of one service differ in speed. */
         private fun guardServiceTime(
             statistics: EndpointStatistics,
@@ -88,9 +95,10 @@
             if (!guardLoad.accepts(context.rankPosition)) return service * UNREADY_LOAD_PER_SLOT
             val sentSince = (statistics.outstanding - statistics.outstandingAtGuardLoad).coerceAtLeast(0)
             val limit = guardLoad.limit.coerceAtLeast(1)
-            if (guardLoad.queued == 0 && guardLoad.running + sentSince < limit) return Duration.ZERO
+            if (guardLoad.queued == 0 && guardLoad.running + sentSince < guardLoad.limit) return Duration.ZERO
             val estimatedWait = guardLoad.ranks.getOrElse(context.rankPosition) { guardLoad.ranks.last() }.estimatedWaitMilliseconds
-            return estimatedWait.milliseconds + service * (sentSince.toDouble() / limit)
+            val perCall = guardLoad.callsPerSecond?.let { maxOf(service / limit, 1.seconds / it) } ?: (service / limit)
+            return estimatedWait.milliseconds + perCall * sentSince
         }
 
         private fun waitFromLocalCounts(
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
@@ -38,7 +38,7 @@
         guardLoad: GuardLoad?,
         now: Moment,
     ) {
-        statistics[instance] = get(instance).withResult(result, guardLoad, now)
+        statistics[instance] = get(instance).withResult(result, guardLoad, now).markedAsLeaving(instance, guardLoad)
     }
 
     /** Records a load report that the guard of [instance] pushed. */
@@ -47,7 +47,7 @@
         guardLoad: GuardLoad,
         now: Moment,
     ) {
-        statistics[instance] = get(instance).withGuardLoad(guardLoad, now)
+        statistics[instance] = get(instance).withGuardLoad(guardLoad, now).markedAsLeaving(instance, guardLoad)
     }
 
     /** Records a load report of the platform or the health endpoint. Ignored if it is older than the last one. */
@@ -72,6 +72,12 @@
         statistics.keys.retainAll { it in instances || get(it).outstanding > 0 }
     }
 
+    // A load report can be older than the server that now runs at the address of its guard, so the report names the server that leaves.
+    private fun EndpointStatistics.markedAsLeaving(
+        instance: InstanceName,
+        guardLoad: GuardLoad?,
+    ): EndpointStatistics = if (guardLoad?.leavingServer == instance) copy(isLeaving = true) else this
+
     private companion object {
         private val noStatistics = EndpointStatistics()
         private const val SIZE_WEIGHT = 0.1
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointStatistics.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointStatistics.kt
@@ -27,7 +27,12 @@
     public val ejectedUntil: Moment = Moment.DISTANT_PAST,
     /** When the endpoint started to serve, or its last ejection ends; the start of its slow start. */
     public val servingSince: Moment = Moment.DISTANT_PAST,
+    /** Whether the backend server has stated that it is leaving. Only another process of it can be in use again. */
+    public val isLeaving: Boolean = false,
 ) {
+    /** The limit on calls a second that the backend server has stated, as far as its guard last reported. */
+    public val callsPerSecond: Double? get() = guardLoad?.callsPerSecond
+
     /** Returns whether the endpoint is ejected as an outlier at [now]. */
     public fun isEjected(now: Moment): Boolean = now < ejectedUntil
 
@@ -41,6 +46,17 @@
         return (age / slowStart).coerceIn(MINIMUM_SLOW_START_SHARE, 1.0)
     }
 
+    /**
+     * Returns the share of the calls of a server with [slots] and [serviceTime] that the stated limit allows, 1 without a limit.
+     *
+     * Proxies divide their calls by it, so that together they send a limited server about what it takes, although none of them knows what
+     * the others send.
+     */
+    public fun rateShare(
+        slots: Int,
+        serviceTime: Duration,
+    ): Double = callsPerSecond?.let { (it * (serviceTime / 1.seconds) / slots).coerceIn(MINIMUM_RATE_SHARE, 1.0) } ?: 1.0
+
     internal fun withSentCall(): EndpointStatistics = copy(outstanding = outstanding + 1)
 
     internal fun withResult(
@@ -79,6 +95,9 @@
         private const val MAXIMUM_DOUBLINGS = 10
         private const val LATENCY_WEIGHT = 0.2
         private const val MINIMUM_SLOW_START_SHARE = 0.1
+
+        /** A server without any call could not report that its limit has risen. */
+        private const val MINIMUM_RATE_SHARE = 0.05
         private val FIRST_EJECTION = 1.seconds
         private val MAXIMUM_EJECTION = 30.seconds
         private val EJECTION_COUNT_RESET_AFTER = 60.seconds
--- a/node/src/main/kotlin/org/celeryusher/node/call/AttemptDispatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/AttemptDispatcher.kt
@@ -33,7 +33,8 @@
     ): GuardReply {
         val sentAt = clock.now()
         try {
-            val outgoing = call.outgoing(request, attempt, endpoint, selection.oneWayLatencyTo(endpoint), suspected)
+            val callsPerSecond = selection.callsPerSecondOf(endpoint.instance)
+            val outgoing = call.outgoing(request, attempt, endpoint, selection.oneWayLatencyTo(endpoint), suspected, callsPerSecond)
             val reply = if (isLocal(endpoint)) runLocally(outgoing) else frames.run(endpoint.frameAddress, outgoing)
             val now = clock.now()
             selection.recordReply(call.route, endpoint.instance, request.body.size, reply, now - sentAt, now)
@@ -71,6 +72,7 @@
                 call.suspected,
                 call.server,
                 call.targetDeadline.takeIf { it > clock.now() },
+                call.callsPerSecond,
             ),
         )
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/AttemptExecutor.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/AttemptExecutor.kt
@@ -11,15 +11,16 @@
     private val client: BackendServerClient,
     private val clock: ProcessClock,
 ) {
-    /** Runs [task] and returns its result. Cancellation closes the connection, which signals it to the server. */
-    suspend fun run(task: GuardTask): CallResult {
+    /** Runs [task] and returns the reply. Cancellation closes the connection, which signals it to the server. */
+    suspend fun run(task: GuardTask): ServerReply {
         val left = task.deadline - clock.now()
-        val result =
+        val reply =
             withTimeoutOrNull(left + ANSWER_GRACE) {
                 client.run(task.call.request, left.inWholeMilliseconds.coerceAtLeast(0), task.call.server)
-            } ?: CallResult.Failed(ErrorKind.DEADLINE_WHILE_RUNNING)
+            } ?: ServerReply(CallResult.Failed(ErrorKind.DEADLINE_WHILE_RUNNING))
+        val result = reply.result
         val isLost = result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_LOST
-        return if (isLost && hasStopped()) CallResult.Failed(ErrorKind.SERVER_CRASHED, result.detail) else result
+        return if (isLost && hasStopped()) ServerReply(CallResult.Failed(ErrorKind.SERVER_CRASHED, result.detail)) else reply
     }
 
     // A running server may also close single connections. Only a server that accepts no new connections has stopped.
--- a/node/src/main/kotlin/org/celeryusher/node/call/BackendServerClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/BackendServerClient.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.call
 
+import org.celeryusher.kernel.admission.ServerNotice
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
@@ -10,6 +11,12 @@
 import org.celeryusher.node.http.HttpResponse
 import org.celeryusher.node.http.value
 
+/** The result of one request to a backend server, and what the server stated about itself, or null without a response of that server. */
+internal class ServerReply(
+    val result: CallResult,
+    val notice: ServerNotice? = null,
+)
+
 /** An HTTP client for the backend server of this instance, which sends each call at most once. */
 internal class BackendServerClient(
     private val connections: HttpConnectionPool,
@@ -25,17 +32,14 @@
         request: CallRequest,
         millisecondsLeft: Long,
         expected: InstanceName?,
-    ): CallResult {
+    ): ServerReply {
         val attempt = headers.attemptOf(request.headers)
         val result = connections.exchange(outgoingRequest(request, millisecondsLeft, expected)) { belongsToOtherAttempt(it, attempt) }
         return when (result) {
-            is ExchangeResult.Answered -> resultOf(result.response)
-            is ExchangeResult.NotConnected -> CallResult.Failed(ErrorKind.CONNECTION_REFUSED, "backend server ${result.detail}")
+            is ExchangeResult.Answered -> replyOf(result.response)
+            is ExchangeResult.NotConnected -> failed(ErrorKind.CONNECTION_REFUSED, result.detail)
             is ExchangeResult.Broken -> {
-                CallResult.Failed(
-                    if (result.hasResponseBegun) ErrorKind.ANSWER_TORN else ErrorKind.CONNECTION_LOST,
-                    "backend server ${result.detail}",
-                )
+                failed(if (result.hasResponseBegun) ErrorKind.ANSWER_TORN else ErrorKind.CONNECTION_LOST, result.detail)
             }
         }
     }
@@ -63,6 +67,14 @@
         attempt: String?,
     ): Boolean = attempt != null && headers.attemptOf(answer).let { it != null && it != attempt }
 
+    private fun failed(
+        kind: ErrorKind,
+        detail: String,
+    ) = ServerReply(CallResult.Failed(kind, "backend server $detail"))
+
+    private fun replyOf(response: HttpResponse): ServerReply =
+        ServerReply(resultOf(response), if (response.status == MISDIRECTED) null else headers.notices?.decode(response.headers))
+
     private fun resultOf(response: HttpResponse): CallResult =
         when {
             response.status == MISDIRECTED -> CallResult.Failed(ErrorKind.SERVER_REPLACED, "backend server $server answered $MISDIRECTED")
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallHeaders.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallHeaders.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.call
 
+import org.celeryusher.kernel.admission.ServerNotice
 import org.celeryusher.node.http.HeaderField
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
@@ -20,6 +21,8 @@
     public val callerService: String? = null,
     /** Response header of a backend server: marks a refusal without having run the work (load shedding). */
     public val shed: String = CeleryusherHeaders.SHED,
+    /** Decodes what a backend server states about itself in the header of a response, or null when the platform's servers state nothing. */
+    public val notices: ServerNoticeDecoder? = null,
     /** Whether `Retry-After` may have a fraction of a second; the HTTP standard allows whole seconds only. */
     public val retryAfterHasFraction: Boolean = false,
 ) {
@@ -40,6 +43,12 @@
     }
 }
 
+/** Decodes what a backend server states about itself in the header of a response. */
+public fun interface ServerNoticeDecoder {
+    /** Returns the notice in [header]. */
+    public fun decode(header: List<HeaderField>): ServerNotice
+}
+
 /** Returns the value of the attempt header in [headers], or null when it is absent or the platform has none. */
 internal fun CallHeaders.attemptOf(headers: List<HeaderField>): String? =
     attempt?.let { name -> headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value }
--- a/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
@@ -41,6 +41,10 @@
     /** Returns the one-way latency to [member]. */
     fun oneWayLatencyTo(member: Member): Duration = distances.to(member.dataCentre)
 
+    /** Returns the limit on calls a second that [instance] has stated, as far as this node knows, or null for none. */
+    @Synchronized
+    fun callsPerSecondOf(instance: InstanceName): Double? = loads[instance].callsPerSecond
+
     /** Counts a first try on [route] and returns whether adaptive throttling lets it pass. */
     @Synchronized
     fun checkThrottle(
--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -51,6 +51,8 @@
         /** The time from the arrival of this frame within which an answer meets the target latency, or null when it has already passed. */
         @SerialName("f") public val targetMilliseconds: Long? = null,
         @SerialName("o") public val host: String = "",
+        /** The limit on calls a second that [server] has stated, as far as the proxy knows: a guard that has just started does not know it. */
+        @SerialName("p") public val callsPerSecond: Double? = null,
     ) : Frame
 
     /** The complete answer of a backend server. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
@@ -32,6 +32,8 @@
     val server: InstanceName,
     /** The time until which an answer meets the target latency. */
     val targetDeadline: Moment,
+    /** The limit on calls a second that the chosen backend server has stated, as far as this node knows, or null for none. */
+    val callsPerSecond: Double?,
 )
 
 /** Sends calls to the guards of other instances, over one persistent connection to each. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -158,6 +158,7 @@
                 suspected = frame.suspected,
                 server = frame.server,
                 targetDeadline = frame.targetMilliseconds?.let { now + it.milliseconds },
+                callsPerSecond = frame.callsPerSecond?.takeIf { it.isFinite() && it >= 0.0 },
             )
         calls.incrementAndGet()
         launchExchange(connection, frame.exchange, running, scope) { answerOf(frame.exchange, guard.run(call)) }
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -7,6 +7,7 @@
 import org.celeryusher.kernel.admission.AdmissionDecision
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.admission.ServerNotice
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptId
 import org.celeryusher.kernel.execution.AttemptReference
@@ -42,6 +43,7 @@
 ) {
     private val origin = clock.now()
     private var currentServer: InstanceName? = instance
+    private var lastNotice = ServerNotice()
     private val lock = Any()
     private val attempts = AttemptRegistry(processStart)
     private val executor = AttemptExecutor(client, clock)
@@ -78,6 +80,7 @@
         synchronized(lock) {
             if (server == currentServer) return
             currentServer = server
+            lastNotice = ServerNotice()
             if (!queue.hasPolicy) return
             queue.drain(clock.now())
             if (server != null) queue.serverStarted(clock.now())
@@ -113,7 +116,8 @@
     val inFlight: Int get() = synchronized(lock) { queue.size }
 
     /** Returns the load to report to proxies, or null before a policy is applied. */
-    fun load(): GuardLoad? = synchronized(lock) { queue.load(clock.now()) }
+    fun load(): GuardLoad? =
+        synchronized(lock) { queue.load(clock.now())?.copy(leavingServer = currentServer.takeIf { lastNotice.isLeaving }) }
 
     /** Refuses queued calls whose deadline can no longer be met, until cancelled. Suspends while no call is queued. */
     suspend fun runTicks() {
@@ -180,13 +184,16 @@
             synchronized(lock) { cancelBeforeSend(task) }
             throw cancelled
         }
-        var result: CallResult = CallResult.Failed(ErrorKind.CANCELLED_WHILE_RUNNING)
+        var reply = ServerReply(CallResult.Failed(ErrorKind.CANCELLED_WHILE_RUNNING))
         try {
-            result = executor.run(task)
+            reply = executor.run(task)
         } finally {
-            result = synchronized(lock) { complete(task, result) }
+            synchronized(lock) {
+                reply.notice?.let { applyNotice(task, it, clock.now()) }
+                complete(task, reply.result)
+            }
         }
-        return result
+        return reply.result
     }
 
     private suspend fun awaitFirst(first: GuardTask): CallResult {
@@ -205,15 +212,35 @@
         }
     }
 
+    // An answer can arrive after another server has taken the place of the one that gave it.
+    private fun applyNotice(
+        task: GuardTask,
+        notice: ServerNotice,
+        now: Moment,
+    ) {
+        if (task.call.server != null && task.call.server != currentServer) return
+        if (notice != lastNotice) {
+            decisions.record(
+                "server",
+                if (notice.isLeaving) "leaves" else "takes ${notice.requestsPerSecond ?: "any number of"} calls a second",
+                "stated in its answer",
+                "server" to currentServer,
+                "attempt" to task.call.reference.id,
+                "before" to lastNotice,
+            )
+        }
+        lastNotice = notice.copy(isLeaving = notice.isLeaving || lastNotice.isLeaving)
+        queue.serverNoticed(notice, now)
+    }
+
     private fun complete(
         task: GuardTask,
         result: CallResult,
-    ): CallResult {
+    ) {
         val now = clock.now()
         if (result is CallResult.Failed && result.kind == ErrorKind.SERVER_CRASHED) countCrash(task, now)
         if (result is CallResult.Answered) crashes.recordCompletion(task.fingerprint, now)
         recordEnd(task, result, now - (task.startedAt ?: now), now)
-        return result
     }
 
     private fun recordEnd(
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardCall.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardCall.kt
@@ -22,6 +22,8 @@
     public val server: InstanceName? = null,
     /** The time until which an answer meets the target latency, or null when that time has passed or is unknown. */
     public val targetDeadline: Moment? = null,
+    /** The limit on calls a second that the chosen backend server has stated, as far as the proxy knows, or null for none. */
+    public val callsPerSecond: Double? = null,
 )
 
 /** The reply of a guard: the result of the attempt, and the guard's load, by which proxies choose backend servers. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -174,6 +174,7 @@
             server = call.server,
             targetMilliseconds = (call.targetDeadline - clock.now() - call.oneWayLatency * 2).inWholeMilliseconds.takeIf { it > 0 },
             host = call.request.host,
+            callsPerSecond = call.callsPerSecond,
         )
 
     private fun replyOf(
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardQueue.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardQueue.kt
@@ -6,6 +6,7 @@
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.AdmissionRequest
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.admission.ServerNotice
 import org.celeryusher.kernel.execution.AttemptId
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.log.DecisionLog
@@ -65,6 +66,7 @@
         now: Moment,
     ) {
         val call = task.call
+        if (call.callsPerSecond != null) handleEvent(now) { it.rateSuggested(call.callsPerSecond, now) }
         tasks[call.reference.id] = task
         val request = AdmissionRequest(call.reference.id, call.rankPosition, task.deadline, isExclusive, call.targetDeadline ?: now)
         handleEvent(now) { it.arrive(request, now) }
@@ -88,6 +90,12 @@
         handleEvent(now) { it.finished(id, serviceTime, serviceOutcomeOf(result), now) }
     }
 
+    /** Applies what the backend server has stated about itself. */
+    fun serverNoticed(
+        notice: ServerNotice,
+        now: Moment,
+    ): Unit = handleEvent(now) { it.serverNoticed(notice, now) }
+
     /** Refuses queued and new attempts. */
     fun drain(now: Moment): Unit = handleEvent(now) { it.drain(now) }
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/ProxiedCall.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/ProxiedCall.kt
@@ -40,6 +40,7 @@
         endpoint: Member,
         oneWayLatency: Duration,
         suspected: Boolean,
+        callsPerSecond: Double?,
     ): OutgoingCall =
         OutgoingCall(
             attempt = attempt,
@@ -54,6 +55,7 @@
             suspected = suspected,
             server = endpoint.instance,
             targetDeadline = targetDeadline,
+            callsPerSecond = callsPerSecond,
         )
 
     /** Returns the inputs of the retry decision after attempts at the instances in [tried], the last of which ended with [reply]. */
