Serve again when a server starts anew under its id

Found while looking for more of what keeps a server out of use: a guard drains when its server is listed as leaving, and took the next process for the same server if it has the same id. It refused all calls for as long as the node ran; callers got 503 although the server was ready. The start time in the list now identifies the process. StoreFleetTest.aServerThatStartsAgainUnderItsIdGetsCalls failed before: no call was answered within 10 s.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Member.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/Member.kt
@@ -19,7 +19,10 @@
     public val frameAddress: Address,
     /** The address at which the backend server listens (HTTP). */
     public val serverAddress: Address,
-    /** The incarnation of the node; null while the instance is known only from the platform's list. */
+    /**
+     * The incarnation of the node or, where the platform lists backend servers apart from instances, of the backend server. Null while
+     * neither is known.
+     */
     public val incarnation: Incarnation? = null,
     public val state: MemberState = MemberState.LIVE,
     /** The maximum number of calls that the backend server runs concurrently; null if it does not report it. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
@@ -134,7 +134,7 @@
         frameClient.retainOnly(current.view.members.mapTo(HashSet()) { it.frameAddress })
         val server = current.view.members.firstOrNull { it.serverAddress == settings.backendServer && it.state != MemberState.DEAD }
         applyPolicy(current.snapshot, server)
-        if (isServerListedSeparately) guard.changeServer(server?.instance)
+        if (isServerListedSeparately) guard.changeServer(server?.instance, server?.incarnation)
         if (server?.state == MemberState.LEAVING) guard.drain()
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -18,6 +18,7 @@
 import org.celeryusher.kernel.execution.RequestFingerprint
 import org.celeryusher.kernel.execution.Ticket
 import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.time.Moment
@@ -43,6 +44,7 @@
 ) {
     private val origin = clock.now()
     private var currentServer: InstanceName? = instance
+    private var currentProcess: Incarnation? = null
     private var lastNotice = ServerNotice()
     private val lock = Any()
     private val attempts = AttemptRegistry(processStart)
@@ -72,13 +74,19 @@
     }
 
     /**
-     * Records that [server] is the backend server beside this node, or that there is none when it is null.
+     * Records that [server] is the backend server beside this node and which [process] of it runs, or that there is none when it is null.
      *
-     * Calls that are queued for the previous server are refused as not run. A new server begins with slow start.
+     * Calls that are queued for the previous server are refused as not run. A new server, or a new process of the same one, begins with
+     * slow start.
      */
-    fun changeServer(server: InstanceName?) {
+    fun changeServer(
+        server: InstanceName?,
+        process: Incarnation?,
+    ) {
         synchronized(lock) {
-            if (server == currentServer) return
+            val isSameProcess = process == null || currentProcess?.isSameProcessAs(process) ?: true
+            if (process != null) currentProcess = process
+            if (server == currentServer && isSameProcess) return
             currentServer = server
             lastNotice = ServerNotice()
             if (!queue.hasPolicy) return
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -5,6 +5,7 @@
 import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.distribution.WatchSchedule
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.ListedServer
 import org.celeryusher.kernel.membership.ListedServerState
@@ -231,6 +232,7 @@
             controlAddress = Address(server.address.host, settings.addresses.control.port),
             frameAddress = Address(server.address.host, settings.addresses.frames.port),
             serverAddress = server.address,
+            incarnation = server.startedAtMilliseconds?.let { Incarnation(it) },
             state = if (server.state == ListedServerState.READY) MemberState.LIVE else MemberState.LEAVING,
             slots = server.slots,
         )
