--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
@@ -67,6 +67,11 @@
         statistics[instance] = EndpointStatistics(outstanding = get(instance).outstanding, servingSince = now)
     }
 
+    /** Records that [instance] is listed anew, so that it is no longer the server that has left. */
+    public fun recordListed(instance: InstanceName) {
+        statistics.computeIfPresent(instance) { _, known -> known.copy(isLeaving = false) }
+    }
+
     /** Discards the statistics of instances other than [instances], unless they have outstanding calls. */
     public fun retainOnly(instances: Set<InstanceName>) {
         statistics.keys.retainAll { it in instances || get(it).outstanding > 0 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
@@ -140,9 +140,8 @@
         now: Moment,
     ) {
         for (member in changed.members) {
-            val before = view[member.instance]?.incarnation ?: continue
-            val after = member.incarnation ?: continue
-            if (!after.isSameProcessAs(before)) loads.recordColdStart(member.instance, now)
+            val before = view[member.instance]
+            if (before == null) loads.recordListed(member.instance) else recordRestart(before, member, now)
         }
         loads.retainOnly(changed.members.mapTo(HashSet()) { it.instance })
         view = changed
@@ -150,6 +149,15 @@
         budgets.values.forEach { (budget, fleetReserve) -> budget.changeReserve(reserveOf(fleetReserve)) }
     }
 
+    private fun recordRestart(
+        before: Member,
+        after: Member,
+        now: Moment,
+    ) {
+        val process = after.incarnation ?: return
+        if (before.incarnation?.isSameProcessAs(process) == false) loads.recordColdStart(after.instance, now)
+    }
+
     private fun budgetOf(route: ResolvedRoute): RetryBudget =
         budgets
             .getOrPut(route.service.name) {
