Handle SIGHUP from the start of a node

Found by the soak: nodes ended with exit code 129. The handler of SIGHUP was installed after the node had started, so a signal in the first second ended the process. It is now the first thing that the command does. While the JVM itself starts, a signal still ends it; the platform then starts it again.

--- a/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
@@ -27,11 +27,15 @@
         public var printSettings: Boolean = false
     }
 
+    private val signals = LinkedBlockingQueue<String>()
+
     override fun run(
         arguments: List<String>,
         output: CommandOutput,
-    ): ExitStatus =
-        withOptions(this, Options(), arguments, output) { options ->
+    ): ExitStatus {
+        // Without a handler, SIGHUP would terminate the JVM. It can arrive as soon as the process exists.
+        sun.misc.Signal.handle(sun.misc.Signal("HUP")) { signals.offer("SIGHUP") }
+        return withOptions(this, Options(), arguments, output) { options ->
             System.setProperty(LOG_STREAM_PROPERTY, "System.out")
             NodeSettingsReader.read(Path.of(options.settings)).fold(
                 { faults ->
@@ -48,6 +52,7 @@
                 },
             )
         }
+    }
 
     private fun runUntilStopped(
         node: Node,
@@ -74,10 +79,7 @@
         return ExitStatus.OK
     }
 
-    // Without a handler, SIGHUP would terminate the JVM.
     private fun checkSettingsUntilStopped(detector: SettingsChangeDetector) {
-        val signals = LinkedBlockingQueue<String>()
-        sun.misc.Signal.handle(sun.misc.Signal("HUP")) { signals.offer("SIGHUP") }
         while (true) {
             val signal = signals.poll(SETTINGS_POLL_SECONDS, TimeUnit.SECONDS)
             detector.check(signal)
