Decide about the server beside a node in the kernel

GuardedServer holds which server and which process of it a guard serves and what it has stated; the guard only locks, logs and queues.

--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardedServer.kt
@@ -0,0 +1,57 @@
+package org.celeryusher.kernel.admission
+
+import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.identity.InstanceName
+
+/**
+ * The backend server beside a node, as its guard knows it: which server it is, which process of it runs, and what that process has stated.
+ *
+ * Not thread-safe.
+ */
+public class GuardedServer(
+    instance: InstanceName,
+) {
+    private var process: Incarnation? = null
+
+    /** The current server, or null if there is none. */
+    public var current: InstanceName? = instance
+        private set
+
+    /** What the current process of the server last stated. A server that has stated that it is leaving does not take that back. */
+    public var notice: ServerNotice = ServerNotice()
+        private set
+
+    /** The current server if it has stated that it is leaving, or null. */
+    public val leaving: InstanceName? get() = current.takeIf { notice.isLeaving }
+
+    /**
+     * Records that [server] is beside the node and that [listed] is the process of it that runs, if that is known.
+     *
+     * Returns whether another server, or another process of the same one, has taken its place.
+     */
+    public fun change(
+        server: InstanceName?,
+        listed: Incarnation?,
+    ): Boolean {
+        val before = process
+        val isSameProcess = listed == null || before == null || before.isSameProcessAs(listed)
+        if (listed != null) process = listed
+        if (server == current && isSameProcess) return false
+        current = server
+        notice = ServerNotice()
+        return true
+    }
+
+    /** Returns whether the current server is the one that a call is meant for; null stands for any. */
+    public fun isMeant(server: InstanceName?): Boolean = current != null && (server == null || server == current)
+
+    /** Records what the server of a call stated, unless another one has taken its place. Returns whether it counts. */
+    public fun state(
+        server: InstanceName?,
+        stated: ServerNotice,
+    ): Boolean {
+        if (!isMeant(server)) return false
+        notice = stated.copy(isLeaving = stated.isLeaving || notice.isLeaving)
+        return true
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -7,6 +7,7 @@
 import org.celeryusher.kernel.admission.AdmissionDecision
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.admission.GuardedServer
 import org.celeryusher.kernel.admission.ServerNotice
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptId
@@ -43,9 +44,7 @@
     private val decisions: DecisionLog,
 ) {
     private val origin = clock.now()
-    private var currentServer: InstanceName? = instance
-    private var currentProcess: Incarnation? = null
-    private var lastNotice = ServerNotice()
+    private val server = GuardedServer(instance)
     private val lock = Any()
     private val attempts = AttemptRegistry(processStart)
     private val executor = AttemptExecutor(client, clock)
@@ -84,11 +83,7 @@
         process: Incarnation?,
     ) {
         synchronized(lock) {
-            val isSameProcess = process == null || currentProcess?.isSameProcessAs(process) ?: true
-            if (process != null) currentProcess = process
-            if (server == currentServer && isSameProcess) return
-            currentServer = server
-            lastNotice = ServerNotice()
+            if (!this.server.change(server, process)) return
             if (!queue.hasPolicy) return
             queue.drain(clock.now())
             if (server != null) queue.serverStarted(clock.now())
@@ -124,8 +119,7 @@
     val inFlight: Int get() = synchronized(lock) { queue.size }
 
     /** Returns the load to report to proxies, or null before a policy is applied. */
-    fun load(): GuardLoad? =
-        synchronized(lock) { queue.load(clock.now())?.copy(leavingServer = currentServer.takeIf { lastNotice.isLeaving }) }
+    fun load(): GuardLoad? = synchronized(lock) { queue.load(clock.now())?.copy(leavingServer = server.leaving) }
 
     /** Refuses queued calls whose deadline can no longer be met, until cancelled. Suspends while no call is queued. */
     suspend fun runTicks() {
@@ -146,9 +140,9 @@
         if (verdict is CrashVerdict.Quarantined) {
             return ArrivalDecision.Respond(CallResult.Failed(ErrorKind.QUARANTINED, retryAfter = verdict.remaining))
         }
-        if (currentServer == null || (call.server != null && call.server != currentServer)) {
+        if (!server.isMeant(call.server)) {
             return ArrivalDecision.Respond(
-                CallResult.Failed(ErrorKind.SERVER_REPLACED, "${call.server} is not here, but ${currentServer ?: "none"}"),
+                CallResult.Failed(ErrorKind.SERVER_REPLACED, "${call.server} is not here, but ${server.current ?: "none"}"),
             )
         }
         val refused = refusalAtArrival(attempts.arrive(call.reference, call.idempotent, uptime(now)))
@@ -220,27 +214,30 @@
         }
     }
 
-    // An answer can arrive after another server has taken the place of the one that gave it.
     private fun applyNotice(
         task: GuardTask,
         notice: ServerNotice,
         now: Moment,
     ) {
-        if (task.call.server != null && task.call.server != currentServer) return
-        if (notice != lastNotice) {
-            decisions.record(
-                "server",
-                if (notice.isLeaving) "leaves" else "takes ${notice.requestsPerSecond ?: "any number of"} calls a second",
-                "stated in its answer",
-                "server" to currentServer,
-                "attempt" to task.call.reference.id,
-                "before" to lastNotice,
-            )
-        }
-        lastNotice = notice.copy(isLeaving = notice.isLeaving || lastNotice.isLeaving)
+        val before = server.notice
+        if (!server.state(task.call.server, notice)) return
+        if (server.notice != before) logNotice(task, before)
         queue.serverNoticed(notice, now)
     }
 
+    private fun logNotice(
+        task: GuardTask,
+        before: ServerNotice,
+    ): Unit =
+        decisions.record(
+            "server",
+            if (server.notice.isLeaving) "leaves" else "takes ${server.notice.requestsPerSecond ?: "any number of"} calls a second",
+            "stated in its answer",
+            "server" to server.current,
+            "attempt" to task.call.reference.id,
+            "before" to before,
+        )
+
     private fun complete(
         task: GuardTask,
         result: CallResult,
