--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -41,7 +41,7 @@
     private val schedule = SourceSchedule()
     private var cursor: Cursor? = null
     private var lastSource: String? = null
-    private var configurationRead: Deferred<Duration?>? = null
+    private var pendingConfigurationRead: Deferred<Duration?>? = null
 
     /** The position in the change numbers of one process of a peer. */
     private data class Cursor(
@@ -58,7 +58,7 @@
     /** Follows the platform until cancelled. */
     suspend fun run(): Unit =
         coroutineScope {
-            configurationRead = null
+            pendingConfigurationRead = null
             while (true) readNext(this)
         }
 
@@ -80,13 +80,14 @@
     private suspend fun readPlatform(scope: CoroutineScope) {
         logSource("the platform")
         val startedAt = clock.now()
-        val configurationRead = configurationRead ?: scope.async { configuration.readPlatform() }.also { configurationRead = it }
+        val configurationRead = pendingConfigurationRead ?: scope.async { configuration.readPlatform() }
+        pendingConfigurationRead = configurationRead
         val listPause = servers.readPlatform()
         if (listPause == null) servers.waitUntil(startedAt + READ_INTERVAL)
         var configurationPause: Duration? = null
         if (configurationRead.isCompleted) {
             configurationPause = configurationRead.await()
-            this.configurationRead = null
+            pendingConfigurationRead = null
         }
         val pause = listOfNotNull(listPause, configurationPause).maxOrNull()
         if (pause != null) {
