Do not reuse a connection whose last answer states no request

Callers were told "not run, try again" for bookings that a server ran: a faulty server wrote an earlier refusal once more on a kept connection, and the node took it for the answer to the next request.

A connection is now kept only after answers that state their request. An answer without an id is still taken for the request that waits, but its connection is closed, so that no copy of it can meet another request. Where a platform has no attempt ids, refusals close their connection.

The price is a new connection after each refusal without an id."

--- a/node/src/main/kotlin/org/celeryusher/node/call/BackendServerClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/BackendServerClient.kt
@@ -9,6 +9,8 @@
 import org.celeryusher.node.http.HttpConnectionPool
 import org.celeryusher.node.http.HttpRequest
 import org.celeryusher.node.http.HttpResponse
+import org.celeryusher.node.http.ResponseHead
+import org.celeryusher.node.http.ResponseOwner
 import org.celeryusher.node.http.value
 
 /** The result of one request to a backend server, and what the server stated about itself, or null without a response of that server. */
@@ -34,7 +36,7 @@
         expected: InstanceName?,
     ): ServerReply {
         val attempt = headers.attemptOf(request.headers)
-        val result = connections.exchange(outgoingRequest(request, millisecondsLeft, expected)) { belongsToOtherAttempt(it, attempt) }
+        val result = connections.exchange(outgoingRequest(request, millisecondsLeft, expected)) { ownerOf(it, attempt) }
         return when (result) {
             is ExchangeResult.Answered -> replyOf(result.response)
             is ExchangeResult.NotConnected -> failed(ErrorKind.CONNECTION_REFUSED, result.detail)
@@ -61,11 +63,26 @@
         return HttpRequest(request.method, request.target, fields, request.body, request.host.ifEmpty { server.toString() })
     }
 
-    // A response that names another attempt is a late response to an earlier request on the same connection.
-    private fun belongsToOtherAttempt(
-        answer: List<HeaderField>,
+    /**
+     * Returns which request [head] answers.
+     *
+     * Where the platform has no attempt ids, only refusals count as unstated: a second copy of one would be taken as proof that the next
+     * call has not run.
+     */
+    private fun ownerOf(
+        head: ResponseHead,
         attempt: String?,
-    ): Boolean = attempt != null && headers.attemptOf(answer).let { it != null && it != attempt }
+    ): ResponseOwner {
+        val answered = headers.attemptOf(head.headers)
+        return when {
+            headers.attempt == null -> if (isRefusal(head)) ResponseOwner.UNSTATED else ResponseOwner.THIS_REQUEST
+            attempt == null || answered == null -> ResponseOwner.UNSTATED
+            answered == attempt -> ResponseOwner.THIS_REQUEST
+            else -> ResponseOwner.OTHER_REQUEST
+        }
+    }
+
+    private fun isRefusal(head: ResponseHead): Boolean = head.status == MISDIRECTED || head.headers.value(headers.shed) != null
 
     private fun failed(
         kind: ErrorKind,
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
@@ -33,6 +33,22 @@
     ) : ExchangeResult
 }
 
+/** Which request a response answers, by what the response states. */
+internal enum class ResponseOwner {
+    /** The request that waits for it. */
+    THIS_REQUEST,
+
+    /** An earlier request on the connection. */
+    OTHER_REQUEST,
+
+    /**
+     * The response does not state it.
+     *
+     * It is taken for the request that waits, but a second copy of it could not be told from the next response.
+     */
+    UNSTATED,
+}
+
 /** The limits of the connections to one server. */
 internal data class ConnectionLimits(
     val connectTimeout: Duration = 500.milliseconds,
@@ -45,7 +61,8 @@
 /**
  * A pool of keep-alive connections to one HTTP server. Each connection carries one exchange at a time, and a request is never sent twice.
  *
- * A connection is reused only when its last response was complete, no bytes followed it, and the server is not about to close it.
+ * A connection is reused only when its last response was complete and stated its request, no bytes followed it, and the server is not
+ * about to close it.
  */
 internal class HttpConnectionPool(
     private val address: Address,
@@ -61,13 +78,13 @@
     private val idle = ArrayDeque<IdleConnection>()
 
     /**
-     * Sends [request] and returns the result. Late responses to earlier requests, which [belongsToOtherRequest] detects, are skipped.
+     * Sends [request] and returns the result. Late responses to earlier requests, which [ownerOf] detects, are skipped.
      *
      * Cancellation closes the connection, which signals the server that the response is no longer needed.
      */
     suspend fun exchange(
         request: HttpRequest,
-        belongsToOtherRequest: (List<HeaderField>) -> Boolean = { false },
+        ownerOf: (ResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
     ): ExchangeResult {
         val stream =
             try {
@@ -77,7 +94,7 @@
             } catch (error: IOException) {
                 return ExchangeResult.NotConnected(describe(error), isRefused = false)
             }
-        return exchange(stream, request, belongsToOtherRequest)
+        return exchange(stream, request, ownerOf)
     }
 
     /** Returns whether the server accepts new connections: false only when it refuses one, true on other failures such as a timeout. */
@@ -101,16 +118,16 @@
     private suspend fun exchange(
         stream: HttpStream,
         request: HttpRequest,
-        belongsToOtherRequest: (List<HeaderField>) -> Boolean,
+        ownerOf: (ResponseHead) -> ResponseOwner,
     ): ExchangeResult {
         var isReturned = false
         val progress = Progress()
         try {
             stream.write(HttpWriter.encode(request))
-            val head = readFinalHead(stream, request.method, belongsToOtherRequest, progress)
+            val head = readFinalHead(stream, request.method, ownerOf, progress)
             val framing = head.framing(request.method)
             val body = stream.readBody(framing, limits.maximumBodyBytes)
-            val isReusable = head.isKeepAlive && framing != BodyFraming.UntilClose && !progress.hasSkippedResponse && stream.isIdle
+            val isReusable = head.isKeepAlive && framing != BodyFraming.UntilClose && progress.isMatched && stream.isIdle
             isReturned = isReusable && returnToPool(stream, head)
             return ExchangeResult.Answered(HttpResponse(head.status, head.headers, body))
         } catch (error: IOException) {
@@ -122,27 +139,30 @@
 
     private class Progress {
         var hasResponseBegun = false
-        var hasSkippedResponse = false
+
+        /** Whether all responses on the connection so far are known to belong to their requests. */
+        var isMatched = true
     }
 
     private suspend fun readFinalHead(
         stream: HttpStream,
         method: String,
-        belongsToOtherRequest: (List<HeaderField>) -> Boolean,
+        ownerOf: (ResponseHead) -> ResponseOwner,
         progress: Progress,
     ): ResponseHead {
         repeat(MAXIMUM_RESPONSES) {
             val text = stream.readHead(limits.maximumHeadBytes) ?: throw IOException("the server closed the connection without an answer")
             val head = ResponseHead.parse(text)
             if (head.isInterim) return@repeat
-            if (!belongsToOtherRequest(head.headers)) {
+            val owner = ownerOf(head)
+            if (owner != ResponseOwner.THIS_REQUEST) progress.isMatched = false
+            if (owner != ResponseOwner.OTHER_REQUEST) {
                 progress.hasResponseBegun = true
                 return head
             }
             val framing = head.framing(method)
             if (framing == BodyFraming.UntilClose) throw IOException("an answer to another request ends with the connection")
             stream.readBody(framing, limits.maximumBodyBytes)
-            progress.hasSkippedResponse = true
         }
         throw IOException("the server sent $MAXIMUM_RESPONSES responses, none of which answers the request")
     }
--- a/node/src/test/kotlin/org/celeryusher/node/http/EndlessResponseTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/http/EndlessResponseTest.kt
@@ -2,15 +2,10 @@
 
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import org.celeryusher.kernel.identity.Address
 import org.celeryusher.node.net.TcpNetwork
 import org.celeryusher.node.runtime.ProcessClock
-import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -56,7 +51,17 @@
                     val request = HttpRequest("GET", "/", emptyList(), ByteArray(0), "host")
                     val result =
                         runBlocking {
-                            withTimeout(HANG_LIMIT) { pool.exchange(request) { fields -> fields.value("Attempt") == "other" } }
+                            withTimeout(HANG_LIMIT) {
+                                pool.exchange(request) { head ->
+                                    if (head.headers.value("Attempt") ==
+                                        "other"
+                                    ) {
+                                        ResponseOwner.OTHER_REQUEST
+                                    } else {
+                                        ResponseOwner.THIS_REQUEST
+                                    }
+                                }
+                            }
                         }
                     assertIs<ExchangeResult.Broken>(result, case.name)
                     server.awaitClose()
@@ -104,40 +109,6 @@
         }
     }
 
-    /** Serves each connection with [serve] until it fails or the connection is closed. */
-    private class RawServer(
-        private val serve: (Socket) -> Unit,
-    ) : AutoCloseable {
-        private val listener = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
-        private val workers = mutableListOf<Thread>()
-        private val acceptor = thread(isDaemon = true) { acceptAll() }
-
-        val address: Address get() = Address("127.0.0.1", listener.localPort)
-
-        /** Waits until the clients have closed all connections. */
-        fun awaitClose(): Unit = synchronized(workers) { workers.toList() }.forEach(Thread::join)
-
-        override fun close() {
-            listener.close()
-            acceptor.join()
-        }
-
-        private fun acceptAll() {
-            while (!listener.isClosed) {
-                val socket = runCatching { listener.accept() }.getOrNull() ?: return
-                synchronized(workers) { workers += thread(isDaemon = true) { serveUntilClosed(socket) } }
-            }
-        }
-
-        private fun serveUntilClosed(socket: Socket) {
-            try {
-                socket.use(serve)
-            } catch (_: IOException) {
-                // The client closed the connection.
-            }
-        }
-    }
-
     private companion object {
         const val BODY_LIMIT = 262_144
         const val BLOCK_BYTES = 8_000
