Let an odd entry cost that entry alone at every reader

The class: bytes from outside that reach a recursive parser, or a value that fails the whole message. - JsonNesting judges the depth of each JSON text before it is parsed: entries, documents, settings, messages between nodes, deltas, health reports, admin pages. - A malformed item of a page or a list is left out, and the others hold.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationDelta.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationDelta.kt
@@ -105,6 +105,7 @@
         /** Returns the delta encoded in [text], or [DeltaFault.Malformed]. */
         public fun parse(text: String): Either<DeltaFault, ConfigurationDelta> =
             try {
+                if (!JsonNesting.isWithinLimit(text)) return DeltaFault.Malformed("the delta is nested too deeply").left()
                 Json.decodeFromString(serializer(), text).right()
             } catch (error: SerializationException) {
                 DeltaFault
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ListedServer.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/ListedServer.kt
@@ -6,6 +6,7 @@
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.ServiceName
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 
 /** One backend server as it describes itself in the platform's list. */
 @Serializable
@@ -23,7 +24,23 @@
     public val sequenceNumber: Long,
     /** When the server started, in Unix milliseconds by its own clock; null when the entry does not state it. */
     public val startedAtMilliseconds: Long?,
-)
+) {
+    /** What makes it impossible to use this entry, or null. Entries come from other writers as well. */
+    public val fault: String?
+        get() =
+            when {
+                instance.value.isBlank() || service.value.isBlank() -> "the server or its service has no name"
+                !address.isUsable -> "\"$address\" is not an IP address and a port from 1 to 65535"
+                slots !in 1..MAXIMUM_SLOTS -> "$slots slots are not between 1 and $MAXIMUM_SLOTS"
+                slowStartRemaining !in Duration.ZERO..MAXIMUM_SLOW_START -> "a slow start of $slowStartRemaining is out of range"
+                else -> null
+            }
+
+    private companion object {
+        const val MAXIMUM_SLOTS = 10_000
+        val MAXIMUM_SLOW_START = 24.hours
+    }
+}
 
 /** The state of a server as it reports it in its entry. */
 @Serializable
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/membership/PlatformInstanceList.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/membership/PlatformInstanceList.kt
@@ -24,7 +24,10 @@
     public val frameAddress: Address,
     public val serverAddress: Address,
     public val state: PlatformInstanceState,
-)
+) {
+    /** Whether a connection to each address of the instance can be tried. */
+    public val isUsable: Boolean get() = controlAddress.isUsable && frameAddress.isUsable && serverAddress.isUsable
+}
 
 /** The state of an instance in the platform's list. */
 @Serializable
--- a/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
@@ -7,6 +7,7 @@
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.error.Resend
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.node.call.CeleryusherHeaders
 import org.celeryusher.node.call.ErrorAnswer
@@ -31,7 +32,8 @@
                 findPage(request.method, request.target)
             } catch (error: CancellationException) {
                 throw error
-            } catch (error: RuntimeException) {
+            } catch (error: Throwable) {
+                if (!error.isRecoverable) throw error
                 logger.error(error) { "the admin page ${request.target} failed" }
                 AdminPage.Failed(ErrorKind.INTERNAL, error.javaClass.simpleName)
             },
--- a/node/src/main/kotlin/org/celeryusher/node/call/BackendServerHealthMonitor.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/BackendServerHealthMonitor.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.configuration.JsonNesting
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.node.control.BackendServerState
 import java.io.IOException
@@ -55,6 +56,7 @@
     // A server that responds, but without a valid health report, is assumed to have no health endpoint and counts as ready.
     private fun stateOf(body: String): BackendServerState =
         try {
+            if (!JsonNesting.isWithinLimit(body)) return BackendServerState.READY
             when (format.decodeFromString<HealthReport>(body).state) {
                 "starting" -> BackendServerState.STARTING
                 "draining" -> BackendServerState.DRAINING
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.Json
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.error.RunStatus
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.identity.ServiceName
 import org.celeryusher.kernel.time.StallDetector
 import org.celeryusher.node.http.HeaderField
@@ -62,7 +63,8 @@
             return if (isStopping) responseOf(CallResult.Failed(ErrorKind.NODE_STOPPING), request) else respondWhileServing(request)
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "internal error while handling the call to ${request.target}" }
             return responseOf(CallResult.Failed(ErrorKind.INTERNAL, error.javaClass.simpleName), request)
         } finally {
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashReportExchange.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashReportExchange.kt
@@ -26,7 +26,8 @@
 /**
  * Asks other nodes for the crashes that they know of, as [CrashReportPeers] chooses them.
  *
- * A node takes reports only over connections that it has opened to a listed node, and never those that another one sends unasked. Thread-safe.
+ * A node takes reports only over connections that it has opened to a listed node, and never those that another one sends unasked.
+ * Thread-safe.
  */
 internal class CrashReportExchange(
     ownAddress: Address,
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
@@ -40,6 +40,10 @@
             throw MalformedFrameException("a frame of ${bytes.size} bytes cannot be decoded", error)
         } catch (error: IndexOutOfBoundsException) {
             throw MalformedFrameException("a frame of ${bytes.size} bytes ends early", error)
+        } catch (error: StackOverflowError) {
+            throw MalformedFrameException("a frame of ${bytes.size} bytes is nested too deeply", error)
+        } catch (error: OutOfMemoryError) {
+            throw MalformedFrameException("a frame of ${bytes.size} bytes states lengths beyond the memory", error)
         }
 
     /** Returns the encoded frame [bytes] with the length prefix, as they are sent. */
@@ -60,6 +64,7 @@
 ) {
     private val length = ByteBuffer.allocate(FrameCodec.LENGTH_BYTES)
     private var body: ByteBuffer? = null
+    private var bodyBytes = 0
     private val ready = ArrayDeque<Frame>()
 
     /**
@@ -75,21 +80,34 @@
             target.position(target.position() + count)
             received.position(received.position() + count)
             if (!target.hasRemaining()) complete(target)
+            if (body?.hasRemaining() == false) enlarge()
         }
     }
 
     /** Returns the next complete frame, or null when more bytes are needed. */
     fun next(): Frame? = ready.removeFirstOrNull()
 
+    // The buffer grows with the received bytes, so that a peer cannot make this process allocate memory by stating a length alone.
+    private fun enlarge() {
+        val full = body ?: return
+        full.flip()
+        body = ByteBuffer.allocate(minOf(bodyBytes.toLong(), full.capacity() * 2L).toInt()).put(full)
+    }
+
     private fun complete(target: ByteBuffer) {
         if (target === length) {
             val bytes = length.getInt(0)
             length.clear()
             if (bytes !in 1..maximumBytes) throw MalformedFrameException("frame length $bytes is not in 1..$maximumBytes")
-            body = ByteBuffer.allocate(bytes)
-        } else {
+            bodyBytes = bytes
+            body = ByteBuffer.allocate(minOf(bytes, INITIAL_BODY_BYTES))
+        } else if (target.capacity() == bodyBytes) {
             body = null
             ready += FrameCodec.decode(target.array())
         }
     }
+
+    private companion object {
+        const val INITIAL_BODY_BYTES = 65_536
+    }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.call
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
@@ -85,6 +86,8 @@
             }
         } catch (_: IOException) {
             // The reader fails with the same error and reports it.
+        } catch (error: OutOfMemoryError) {
+            logger.error(error) { "too little memory to send a frame; connection closed" }
         } finally {
             close()
         }
@@ -99,6 +102,8 @@
             }
         } catch (error: IOException) {
             cause = error
+        } catch (error: OutOfMemoryError) {
+            cause = MalformedFrameException("too little memory for a frame", error)
         } finally {
             close()
             onClosed(this, cause)
@@ -106,6 +111,7 @@
     }
 
     private companion object {
+        val logger = KotlinLogging.logger {}
         const val OUTGOING_QUEUE_FRAMES = 1_024
         const val MAXIMUM_BATCH_BYTES = 16_384
     }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -10,6 +10,7 @@
 import org.celeryusher.kernel.admission.LoadReportAudience
 import org.celeryusher.kernel.admission.LoadReportFilter
 import org.celeryusher.kernel.error.ErrorKind
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.execution.AttemptState
 import org.celeryusher.kernel.execution.Outcome
 import org.celeryusher.kernel.identity.Address
@@ -213,7 +214,8 @@
             answer()
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "internal error while handling a frame of another node" }
             Frame.Failure(exchange, ErrorKind.INTERNAL, error.javaClass.simpleName)
         }
--- a/node/src/main/kotlin/org/celeryusher/node/command/AdminClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/AdminClient.kt
@@ -18,6 +18,7 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.configuration.JsonNesting
 import org.celeryusher.kernel.identity.Address
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
@@ -62,6 +63,7 @@
         if (response.status != HttpStatusCode.OK) {
             return "the node at $node answered ${response.status.value}: ${printableLine(text.take(QUOTED_CHARACTERS))}".left()
         }
+        if (!JsonNesting.isWithinLimit(text)) return "the node at $node returned a page that is nested too deeply".left()
         return try {
             format.decodeFromString(deserializer, text).right()
         } catch (error: SerializationException) {
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlActionExecutor.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlActionExecutor.kt
@@ -9,6 +9,7 @@
 import org.celeryusher.kernel.configuration.ConfigurationSnapshot
 import org.celeryusher.kernel.distribution.ConfigurationSource
 import org.celeryusher.kernel.distribution.OfferDecision
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.membership.GossipMessage
 import org.celeryusher.node.runtime.RoutingState
 import java.net.URLEncoder
@@ -53,7 +54,8 @@
             execute(action)
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "control action ${action::class.simpleName} failed" }
         }
     }
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlFormat.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlFormat.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.configuration.JsonNesting
 
 /** The JSON format of messages between nodes. Unknown fields are ignored, so that nodes of different releases are compatible. */
 internal object ControlFormat {
@@ -18,7 +19,8 @@
         bytes: ByteArray,
     ): T? =
         try {
-            json.decodeFromString(serializer, bytes.decodeToString(throwOnInvalidSequence = true))
+            val text = bytes.decodeToString(throwOnInvalidSequence = true)
+            if (JsonNesting.isWithinLimit(text)) json.decodeFromString(serializer, text) else null
         } catch (_: CharacterCodingException) {
             null
         } catch (_: IllegalArgumentException) {
--- a/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/ControlPlane.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.log.DecisionLog
@@ -131,7 +132,8 @@
             actions.start(state.tick())
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "control plane tick failed" }
         }
     }
--- a/node/src/main/kotlin/org/celeryusher/node/control/PlatformClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/PlatformClient.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.control
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.client.HttpClient
 import io.ktor.client.request.get
 import io.ktor.client.request.parameter
@@ -14,7 +15,9 @@
 import kotlinx.io.readByteArray
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.configuration.JsonArrayMember
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.membership.PlatformInstance
 import org.celeryusher.kernel.membership.PlatformInstanceList
 import java.io.IOException
 import kotlin.time.Duration
@@ -62,12 +65,36 @@
     public suspend fun readInstances(): PlatformAnswer<PlatformInstanceList> =
         read("instances", emptyMap(), READ_TIMEOUT) { bytes ->
             try {
-                PlatformAnswer.Value(format.decodeFromString<PlatformInstanceList>(bytes.decodeToString()))
+                PlatformAnswer.Value(parseInstances(bytes.decodeToString()))
             } catch (error: SerializationException) {
                 PlatformAnswer.Unavailable("malformed instance list: ${error.message.orEmpty().lineSequence().first()}")
             }
         }
 
+    private fun parseInstances(text: String): PlatformInstanceList {
+        val list =
+            try {
+                format.decodeFromString<PlatformInstanceList>(text)
+            } catch (error: SerializationException) {
+                parseWithoutFaultyInstances(text) ?: throw error
+            }
+        return list.copy(instances = list.instances.filter { it.isUsable })
+    }
+
+    private fun parseWithoutFaultyInstances(text: String): PlatformInstanceList? {
+        val array = JsonArrayMember.findOrNull(text, setOf("instances")) ?: return null
+        val instances = array.elements.mapNotNull(::parseInstanceOrNull)
+        logger.warn { "left out ${array.elements.size - instances.size} of ${array.elements.size} malformed entries of the instance list" }
+        return format.decodeFromString<PlatformInstanceList>(array.textWithoutElements).copy(instances = instances)
+    }
+
+    private fun parseInstanceOrNull(text: String): PlatformInstance? =
+        try {
+            format.decodeFromString<PlatformInstance>(text)
+        } catch (_: SerializationException) {
+            null
+        }
+
     private suspend fun <T> read(
         path: String,
         parameters: Map<String, String>,
@@ -106,5 +133,6 @@
     private companion object {
         val MAXIMUM_RETRY_AFTER = 30.seconds
         val READ_TIMEOUT = 2.seconds
+        val logger = KotlinLogging.logger {}
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/control/PlatformReadLoop.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/PlatformReadLoop.kt
@@ -9,6 +9,7 @@
 import org.celeryusher.kernel.distribution.OfferDecision
 import org.celeryusher.kernel.distribution.ReadDecision
 import org.celeryusher.kernel.distribution.ReadSubject
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.node.runtime.ProcessClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -49,7 +50,8 @@
             read()
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "read of the platform failed" }
             state.recordReadFailure(subject, Duration.ZERO)
         }
--- a/node/src/main/kotlin/org/celeryusher/node/net/EventLoop.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/EventLoop.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.net
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.IOException
@@ -96,7 +97,7 @@
 
     private fun run() {
         try {
-            while (selector.isOpen) poll()
+            while (selector.isOpen) pollSafely()
         } catch (_: ClosedSelectorException) {
             // The network was closed.
         } catch (error: IOException) {
@@ -104,6 +105,14 @@
         }
     }
 
+    private fun pollSafely() {
+        try {
+            poll()
+        } catch (error: OutOfMemoryError) {
+            logger.error(error) { "waiting for ready channels failed and starts again" }
+        }
+    }
+
     private fun poll() {
         isFirstOfPoll = true
         selector.select(::handle, POLL_INTERVAL.inWholeMilliseconds)
@@ -121,7 +130,8 @@
             owner.handleReadiness(key.readyOps())
         } catch (_: CancelledKeyException) {
             // The channel was closed meanwhile.
-        } catch (error: RuntimeException) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "handling a ready channel failed; the channel is closed" }
             owner.close()
         }
--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpListener.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpListener.kt
@@ -64,6 +64,9 @@
         } catch (error: IOException) {
             logger.debug { "an accepted connection failed: ${error.message}" }
             accepted.close()
+        } catch (error: OutOfMemoryError) {
+            logger.error(error) { "too little memory for an accepted connection" }
+            accepted.close()
         }
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/KeepRunning.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/KeepRunning.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
+import org.celeryusher.kernel.error.isRecoverable
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -25,9 +26,8 @@
             return loop()
         } catch (error: CancellationException) {
             throw error
-        } catch (error: RuntimeException) {
-            logger.error(error) { "the task \"$name\" failed and starts again" }
-        } catch (error: StackOverflowError) {
+        } catch (error: Throwable) {
+            if (!error.isRecoverable) throw error
             logger.error(error) { "the task \"$name\" failed and starts again" }
         }
         delay(RESTART_PAUSE)
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettingsReader.kt
@@ -8,6 +8,7 @@
 import arrow.core.toNonEmptyListOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.celeryusher.kernel.configuration.JsonNesting
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.node.source.PlatformAdapters
 import java.io.IOException
@@ -45,6 +46,7 @@
     /** Returns the settings in [text], or every fault found in it. */
     public fun parse(text: String): Either<NonEmptyList<SettingsFault>, NodeSettings> =
         try {
+            if (!JsonNesting.isWithinLimit(text)) return nonEmptyListOf(SettingsFault("$", "is nested too deeply")).left()
             val settings = format.decodeFromString<NodeSettings>(text)
             faultsOf(settings).toNonEmptyListOrNull()?.left() ?: settings.right()
         } catch (error: SerializationException) {
--- a/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
@@ -26,6 +26,8 @@
                     result.response.headers
                         .value("Retry-After")
                         ?.toDoubleOrNull()
+                        ?.takeIf { it >= 0 }
+                        ?.coerceAtMost(MAXIMUM_RETRY_AFTER_SECONDS)
                         ?.seconds
                 PlatformCallResult.Answered(result.response.status, result.response.body, retryAfter ?: Duration.ZERO)
             }
@@ -33,4 +35,9 @@
             is ExchangeResult.Broken -> PlatformCallResult.Failed(result.detail)
         }
     }
+
+    private companion object {
+        /** A platform that asks for a longer pause is asked again after this one: no single answer may end the reading. */
+        const val MAXIMUM_RETRY_AFTER_SECONDS = 30.0
+    }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -83,14 +83,21 @@
         listRevision: Long,
     ) {
         val now = clock.now()
+        val usable = changes.changes.map(::withoutFault)
         if (changes.isComplete) {
-            directory.replaceAll(changes.changes.filterIsInstance<ServerListChange.Written>(), listRevision, now)
+            directory.replaceAll(usable.filterIsInstance<ServerListChange.Written>(), listRevision, now)
         } else {
-            changes.changes.forEach { directory.apply(it, now) }
+            usable.forEach { directory.apply(it, now) }
         }
         publish(now)
     }
 
+    private fun withoutFault(change: ServerListChange): ServerListChange {
+        val fault = (change as? ServerListChange.Written)?.server?.fault ?: return change
+        decisions.record("servers", "${change.instance} gone", "its relayed entry cannot be used", "fault" to fault)
+        return ServerListChange.Removed(change.instance, change.revision)
+    }
+
     /** Records that a peer has confirmed that the list up to [listRevision] was current at the time [at]. */
     fun confirmed(
         listRevision: Long,
--- a/node/src/test/kotlin/org/celeryusher/node/runtime/KeepRunningTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/runtime/KeepRunningTest.kt
@@ -16,6 +16,7 @@
                 "a broken invariant" to { IllegalStateException("broken") },
                 "a missing element" to { NoSuchElementException("missing") },
                 "an input that is nested too deeply" to { StackOverflowError() },
+                "an input that is too large" to { OutOfMemoryError() },
             )
         for ((name, error) in cases) {
             var starts = 0
