Ask for crash reports as soon as the first peers are known

A node that had just started looked for its first peer every 250 ms, and its callers waited meanwhile; now the first view of the fleet starts the first queries. A connection that a guard lost to its own server was remembered like one to the guard, so that a later end of that server would have counted as a crash under the call.

CrashRequestFleetTest, CallPathTest and StoreFleetTest pass."

--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -173,9 +173,13 @@
         // A guard can report only crashes of its own backend server.
         reply.crash?.takeIf { it.id.server == endpoint.instance }?.let { crashes.merge(it, "${endpoint.frameAddress}", now) }
         if (result.showsCompletion) crashes.recordCompletion(fingerprint, now)
-        if (result is CallResult.Failed && result.kind == ErrorKind.CONNECTION_LOST) crashes.recordLoss(endpoint, fingerprint, now)
+        if (isGuardLost(reply)) crashes.recordLoss(endpoint, fingerprint, now)
     }
 
+    /** Returns whether the connection to the guard was lost, in contrast to that of a guard to its backend server. */
+    private fun isGuardLost(reply: GuardReply): Boolean =
+        reply.load == null && (reply.result as? CallResult.Failed)?.kind == ErrorKind.CONNECTION_LOST
+
     private fun rejectThrottled(
         call: ProxiedCall,
         throttleDecision: ThrottleDecision.Refuse,
--- a/node/src/main/kotlin/org/celeryusher/node/call/CrashReportExchange.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CrashReportExchange.kt
@@ -2,7 +2,10 @@
 
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.execution.CrashReportPeers
 import org.celeryusher.kernel.execution.FirstCrashReports
 import org.celeryusher.kernel.identity.Address
@@ -45,6 +48,7 @@
     private val peers = CrashReportPeers(ownAddress)
     private val first = FirstCrashReports()
     private val cursors = HashMap<Address, Cursor>()
+    private val memberChanges = MutableStateFlow(0)
 
     /** Whether this node knows enough of the crashes in the fleet to place calls. */
     val isInformed: Boolean @Synchronized get() = first.isInformed(clock.now())
@@ -56,6 +60,7 @@
         val addresses = members.mapTo(HashSet()) { it.frameAddress }
         cursors.keys.retainAll(addresses)
         first.recordPeers(peers.size, clock.now())
+        memberChanges.value++
     }
 
     /** Exchanges crash reports until cancelled. */
@@ -67,12 +72,8 @@
         }
 
     private suspend fun askNext(position: Int) {
-        val peer = synchronized(this) { peers.choose(position, random, clock.now()) }
-        if (peer == null) {
-            synchronized(this) { if (peers.size > 0) first.recordFailure(position) }
-            delay(NO_PEER_PAUSE)
-            return
-        }
+        val peer = choosePeer(position)
+        if (peer == null) return awaitPeer(position)
         val wait = if (isInformed) QUERY_WAIT else Duration.ZERO
         val known = synchronized(this) { cursors[peer] }
         val query = Frame.CrashQuery(0, known?.processStart, known?.number, wait.inWholeMilliseconds)
@@ -81,6 +82,15 @@
         delay(QUERY_PAUSE)
     }
 
+    @Synchronized
+    private fun choosePeer(position: Int): Address? = peers.choose(position, random, clock.now())
+
+    private suspend fun awaitPeer(position: Int) {
+        val known = memberChanges.value
+        synchronized(this) { if (peers.size > 0) first.recordFailure(position) }
+        withTimeoutOrNull(NO_PEER_PAUSE) { memberChanges.first { it != known } }
+    }
+
     @Synchronized
     private fun recordFailure(
         position: Int,
