Name the process in a statement that a server leaves, and log where it came from

If a server starts again under its id and a proxy hears of that before the guard does, a refusal of the guard marked the new process as leaving, and the proxy left it out until it was removed from the list.

Now the report names the process (its start), and a proxy that lists another one ignores it. Where either does not know the process, the name alone counts, as before. LeavingServerTest has the whole table; its cases with two processes need the new field and fail where the name alone decides.

What would tell a late node apart is logged now: each change of the list with the node or platform that it came from, beside its revision and age, and each server that is left out because of what it stated, with the source and the process.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardLoad.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 
 /**
@@ -21,7 +22,15 @@
     @SerialName("p") public val callsPerSecond: Double? = null,
     /** The backend server that has stated that it is leaving, or null if it has not. */
     @SerialName("l") public val leavingServer: InstanceName? = null,
+    /** The `Incarnation.start` of the process of [leavingServer] that has stated it, or null if the guard does not know it. */
+    @SerialName("b") public val leavingProcess: Long? = null,
 ) {
+    /** Returns whether [instance], whose process is [process] as far as the proxy knows, has stated that it is leaving. */
+    public fun isLeaving(
+        instance: InstanceName,
+        process: Incarnation?,
+    ): Boolean = leavingServer == instance && (leavingProcess == null || process == null || leavingProcess == process.start)
+
     /** Returns whether the guard would start or queue a call of the rank at [rankPosition] whose deadline allows for the estimated wait. */
     public fun accepts(rankPosition: Int): Boolean = ranks.getOrElse(rankPosition) { ranks.lastOrNull() }?.accepting ?: false
 }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardedServer.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/admission/GuardedServer.kt
@@ -28,6 +28,9 @@
     /** The current server if it has stated that it is leaving, or null. */
     public val leaving: InstanceName? get() = current.takeIf { notice.isLeaving }
 
+    /** The `Incarnation.start` of the process of [leaving], or null if it is not known. */
+    public val leavingProcess: Long? get() = process?.start?.takeIf { notice.isLeaving }
+
     /**
      * Records that [server] is beside the node and that [listed] is the process of it that runs, if that is known.
      *
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/routing/EndpointLoadTracker.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.kernel.routing
 
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.time.Moment
@@ -31,23 +32,29 @@
         statistics[instance] = get(instance).withSentCall()
     }
 
-    /** Records the result of a call to [instance], with the load of the guard if the answer contained it. */
+    /**
+     * Records the result of a call to [instance], with the load of the guard if the answer contained it.
+     *
+     * [process] is the process of the instance that is listed, if that is known.
+     */
     public fun recordResult(
         instance: InstanceName,
         result: CallResult,
         guardLoad: GuardLoad?,
         now: Moment,
+        process: Incarnation? = null,
     ) {
-        statistics[instance] = get(instance).withResult(result, guardLoad, now).markedAsLeaving(instance, guardLoad)
+        statistics[instance] = get(instance).withResult(result, guardLoad, now).markedAsLeaving(instance, process, guardLoad)
     }
 
-    /** Records a load report that the guard of [instance] pushed. */
+    /** Records a load report that the guard of [instance] pushed. [process] is as for [recordResult]. */
     public fun recordPushedLoad(
         instance: InstanceName,
         guardLoad: GuardLoad,
         now: Moment,
+        process: Incarnation? = null,
     ) {
-        statistics[instance] = get(instance).withGuardLoad(guardLoad, now).markedAsLeaving(instance, guardLoad)
+        statistics[instance] = get(instance).withGuardLoad(guardLoad, now).markedAsLeaving(instance, process, guardLoad)
     }
 
     /** Records a load report of the platform or the health endpoint. Ignored if it is older than the last one. */
@@ -77,11 +84,12 @@
         statistics.keys.retainAll { it in instances || get(it).outstanding > 0 }
     }
 
-    // A load report can be older than the server that now runs at the address of its guard, so the report names the server that leaves.
+    // A load report can be older than the process that now runs, so it names the one that leaves.
     private fun EndpointStatistics.markedAsLeaving(
         instance: InstanceName,
+        process: Incarnation?,
         guardLoad: GuardLoad?,
-    ): EndpointStatistics = if (guardLoad?.leavingServer == instance) copy(isLeaving = true) else this
+    ): EndpointStatistics = if (guardLoad?.isLeaving(instance, process) == true) copy(isLeaving = true) else this
 
     private companion object {
         private val noStatistics = EndpointStatistics()
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/routing/LeavingServerTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/routing/LeavingServerTest.kt
@@ -8,6 +8,7 @@
 import org.celeryusher.kernel.configuration.ServiceDeclaration
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.DataCentreName
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.RankName
 import org.celeryusher.kernel.identity.RouteName
@@ -38,16 +39,23 @@
             checkNotNull(members.toNonEmptyListOrNull()),
         )
 
+    private var process: Incarnation? = null
+
     private sealed interface Event {
         data class Answer(
             val leaving: String?,
+            val process: Long? = null,
         ) : Event
 
         data class Report(
             val leaving: String?,
+            val process: Long? = null,
         ) : Event
 
-        data object Restart : Event
+        /** The list shows another process of the server, which started at [start] if that is known. */
+        data class Restart(
+            val start: Long? = null,
+        ) : Event
 
         data object Listed : Event
 
@@ -64,12 +72,20 @@
                 listOf(Event.Answer("a"), Event.Report(null)) to false,
                 listOf(Event.Answer("a"), Event.Answer(null), Event.Answer(null)) to false,
                 listOf(Event.Report("the server that ran at this address before")) to true,
-                listOf(Event.Answer("a"), Event.Restart) to true,
+                listOf(Event.Answer("a"), Event.Restart()) to true,
+                listOf(Event.Restart(1_000), Event.Answer("a", 1_000)) to false,
+                listOf(Event.Restart(1_000), Event.Answer("a", 1_000), Event.Restart(2_000)) to true,
+                listOf(Event.Restart(2_000), Event.Answer("a", 1_000)) to true,
+                listOf(Event.Restart(2_000), Event.Report("a", 1_000)) to true,
+                listOf(Event.Restart(2_000), Event.Answer("a", 1_000), Event.Answer("a", 2_000)) to false,
+                listOf(Event.Restart(1_000), Event.Answer("a", 2_000), Event.Restart(2_000), Event.Answer("a", 2_000)) to false,
+                listOf(Event.Restart(1_000), Event.Report("a")) to false,
                 listOf(Event.Answer("a"), Event.Removed, Event.Listed) to true,
             )
         for ((events, isChosen) in cases) {
             val loads = EndpointLoadTracker()
             loads.recordSent(members[0].instance)
+            process = null
             events.forEach { apply(it, loads) }
             val chooser = BackendServerChooser(DataCentreDistances(DataCentreName("east"), 1.milliseconds), loads)
             val choice = chooser.choose(route, tried = setOf(members[1].instance), now + 10.seconds, Random(1))
@@ -83,23 +99,31 @@
     ) {
         val first = members[0].instance
         when (event) {
-            is Event.Answer -> loads.recordResult(first, CallResult.Served(1.milliseconds), loadWith(event.leaving), now)
-            is Event.Report -> loads.recordPushedLoad(first, loadWith(event.leaving), now)
-            is Event.Restart -> loads.recordColdStart(first, now)
+            is Event.Answer -> {
+                loads.recordResult(first, CallResult.Served(1.milliseconds), loadWith(event.leaving, event.process), now, process)
+            }
+            is Event.Report -> loads.recordPushedLoad(first, loadWith(event.leaving, event.process), now, process)
+            is Event.Restart -> {
+                process = event.start?.let { Incarnation(it) }
+                loads.recordColdStart(first, now)
+            }
             is Event.Listed -> loads.recordListed(first)
             is Event.Removed -> loads.retainOnly(emptySet())
         }
     }
 
-    private fun loadWith(leaving: String?) =
-        GuardLoad(
-            limit = 6,
-            running = 0,
-            queued = 0,
-            ranks = listOf(RankLoad(0, accepting = true)),
-            leavingServer =
-                leaving?.let {
-                    InstanceName(it)
-                },
-        )
+    private fun loadWith(
+        leaving: String?,
+        process: Long?,
+    ) = GuardLoad(
+        limit = 6,
+        running = 0,
+        queued = 0,
+        ranks = listOf(RankLoad(0, accepting = true)),
+        leavingServer =
+            leaving?.let {
+                InstanceName(it)
+            },
+        leavingProcess = process,
+    )
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
@@ -93,7 +93,7 @@
             settings.control.interDataCentreMicroseconds.microseconds,
             perKilobyte = settings.control.interDataCentreMicrosecondsPerKilobyte.microseconds,
         )
-    private val selection = EndpointSelection(distances, random)
+    private val selection = EndpointSelection(distances, random, decisions)
     private val frameClient: FrameClient =
         FrameClient(
             resources.network,
--- a/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/EndpointSelection.kt
@@ -5,6 +5,7 @@
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.CallerWaitEstimator
 import org.celeryusher.kernel.identity.Address
+import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.membership.MembershipView
@@ -16,6 +17,7 @@
 import org.celeryusher.kernel.routing.ResolvedRoute
 import org.celeryusher.kernel.routing.ThrottleDecision
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.log.DecisionLog
 import kotlin.random.Random
 import kotlin.time.Duration
 import org.celeryusher.kernel.routing.CallResult as EndpointResult
@@ -24,6 +26,7 @@
 internal class EndpointSelection(
     private val distances: DataCentreDistances,
     private val random: Random,
+    private val decisions: DecisionLog,
 ) {
     private val loads = EndpointLoadTracker()
     private val chooser = BackendServerChooser(distances, loads)
@@ -83,7 +86,9 @@
         latency: Duration,
         now: Moment,
     ) {
-        loads.recordResult(endpoint, endpointResult(reply.result, latency), reply.load, now)
+        val wasLeaving = loads[endpoint].isLeaving
+        loads.recordResult(endpoint, endpointResult(reply.result, latency), reply.load, now, processOf(endpoint))
+        logLeaving(endpoint, wasLeaving, "its guard's reply")
         (reply.result as? CallResult.Answered)?.let {
             loads.recordExchangeSize(route.declaration.name, requestBytes + it.body.size + ESTIMATED_HEAD_BYTES)
         }
@@ -107,7 +112,23 @@
         load: GuardLoad,
         now: Moment,
     ) {
-        instancesByAddress[address].orEmpty().forEach { loads.recordPushedLoad(it, load, now) }
+        for (instance in instancesByAddress[address].orEmpty()) {
+            val wasLeaving = loads[instance].isLeaving
+            loads.recordPushedLoad(instance, load, now, processOf(instance))
+            logLeaving(instance, wasLeaving, "its guard's report")
+        }
+    }
+
+    private fun processOf(instance: InstanceName): Incarnation? = view[instance]?.incarnation
+
+    private fun logLeaving(
+        instance: InstanceName,
+        wasLeaving: Boolean,
+        source: String,
+    ) {
+        if (wasLeaving || !loads[instance].isLeaving) return
+        val process = processOf(instance)?.start
+        decisions.record("servers", "$instance left out", "it has stated that it leaves", "from" to source, "process" to process)
     }
 
     /** Records that a call to [endpoint] ended without a result, because it was cancelled or not sent. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Guard.kt
@@ -137,7 +137,10 @@
     val inFlight: Int get() = synchronized(lock) { queue.size }
 
     /** Returns the load to report to proxies, or null before a policy is applied. */
-    fun load(): GuardLoad? = synchronized(lock) { queue.load(clock.now())?.copy(leavingServer = server.leaving) }
+    fun load(): GuardLoad? =
+        synchronized(lock) {
+            queue.load(clock.now())?.copy(leavingServer = server.leaving, leavingProcess = server.leavingProcess)
+        }
 
     /** Refuses queued calls whose deadline can no longer be met, until cancelled. Suspends while no call is queued. */
     suspend fun runTicks() {
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -38,6 +38,7 @@
     private val schedule = WatchSchedule()
     private val readRequests = Channel<Unit>(Channel.CONFLATED)
     private var isSourceLost = false
+    private var source = "nothing"
     private var loggedDeferrals: Set<InstanceName> = emptySet()
 
     /** The latest time at which this list is known to have been current, or [Moment.DISTANT_PAST] before the first answer. */
@@ -77,12 +78,14 @@
         at: Moment,
     ): Unit = recordAnswer(listRevision, "a peer answers", at)
 
-    /** Applies [changes] that a peer has read from the list up to [listRevision]. */
+    /** Applies [changes] that [peer] has read from the list up to [listRevision]. */
     fun applyRelayed(
         changes: ServerListChanges,
         listRevision: Long,
+        peer: InstanceName,
     ) {
         val now = clock.now()
+        source = "the node beside $peer"
         val usable = changes.changes.map(::withoutFault)
         if (changes.isComplete) {
             directory.replaceAll(usable.filterIsInstance<ServerListChange.Written>(), listRevision, now)
@@ -144,6 +147,7 @@
         now: Moment,
     ) {
         recordAnswer(reading.revision, "the platform answers", now)
+        source = "the platform"
         confirmedAt = schedule.answered(read, reading.value.isNotEmpty(), sentAt, now)
         when (read) {
             is SourceRead.Complete -> {
@@ -205,6 +209,7 @@
                 "the platform's list",
                 "revision" to directory.revision,
                 "confirmedBefore" to age(now),
+                "from" to source,
             )
         }
         routing.updateView(MembershipView(members))
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -124,7 +124,7 @@
         peer: InstanceName,
     ) {
         update.servers?.let {
-            servers.applyRelayed(it, update.revision)
+            servers.applyRelayed(it, update.revision, peer)
             cursor = Cursor(update.processStart, it.cursor)
         }
         update.configuration?.let { configuration.offerRelayed(it, peer) }
--- a/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/source/ServerListWatcherTest.kt
@@ -45,7 +45,11 @@
         runBlocking {
             val platform = FakeReader(listOf(written("a", 3)))
             val watcher = ServerListWatcher(settings, platform, routing, clock, Random(1), DecisionLog(instance, clock), SourceRelay(clock))
-            watcher.applyRelayed(ServerListChanges(listOf(written("a", 3), written("b", 4)), cursor = 2, isComplete = true), 9)
+            watcher.applyRelayed(
+                ServerListChanges(listOf(written("a", 3), written("b", 4)), cursor = 2, isComplete = true),
+                9,
+                InstanceName("b"),
+            )
             watcher.confirmed(9, clock.now())
             assertEquals(listOf("a", "b"), names())
             watcher.readPlatform()
