End a planned stop with its last call, within the grace time

Cause: a stop lasted a fixed notice and a fixed drain limit, whatever the platform grants and whatever runs.

StopSchedule follows from the grace time of the settings (the platform's bound) and from what is in flight: after the notice the node ends as soon as nothing is, and at 11/12 of the grace time at the latest. Where no grace time is stated, the drain limit of the configuration applies. After the notice new calls are refused as not run, also on new connections, except those that the server beside the node makes for a request that it is running and that end in time. The log states each second what holds the stop. SIGTERM during the start stops the node once it has started; a second SIGTERM changes nothing.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/execution/ServerRuns.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/ServerRuns.kt
@@ -61,6 +61,12 @@
         return isCertain
     }
 
+    /** Returns whether the server may make a call that expires at [deadline] for a request that it is running. */
+    public fun mayMakeCall(
+        deadline: Moment,
+        now: Moment,
+    ): Boolean = runs.values.any { now < it.endsAt && deadline < it.deadline + DELIVERY_MARGIN }
+
     /** Returns how many calls a run on [route] makes to each service, or null while too few runs were seen. */
     public fun callsPerRun(
         route: RouteName,
--- /dev/null
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/shutdown/StopSchedule.kt
@@ -0,0 +1,67 @@
+package org.celeryusher.kernel.shutdown
+
+import org.celeryusher.kernel.time.Moment
+import kotlin.time.Duration
+
+/** What a stopping node does at a time. */
+public enum class StopPhase {
+    /** The node still takes calls, because callers may not know yet that it leaves. */
+    NOTICE,
+
+    /** The node refuses new calls of callers and waits for those in flight. */
+    DRAIN,
+
+    /** The node ends. */
+    END,
+}
+
+/**
+ * The course of a graceful shutdown that began at [startedAt].
+ *
+ * Callers learn within [notice] that the node leaves. Then the node ends as soon as nothing is in flight. It ends in any case in time for its last
+ * answers to leave before the process is killed, which happens [grace] after the start; where nothing is known of that, it waits for [drainLimit]
+ * after the notice.
+ */
+public class StopSchedule(
+    private val startedAt: Moment,
+    notice: Duration,
+    private val grace: Duration?,
+    drainLimit: Duration,
+) {
+    private val noticeEndsAt = startedAt + if (grace == null) notice else minOf(notice, grace / LONGEST_NOTICE)
+
+    /** When the node ends although calls are in flight. */
+    public val endsAt: Moment = if (grace == null) noticeEndsAt + drainLimit else startedAt + grace - grace / CLOSING_TIME
+
+    /** Returns the phase at [now] with [inFlight] calls and answers in flight. */
+    public fun phase(
+        inFlight: Int,
+        now: Moment,
+    ): StopPhase =
+        when {
+            now >= endsAt -> StopPhase.END
+            now < noticeEndsAt -> StopPhase.NOTICE
+            inFlight == 0 -> StopPhase.END
+            else -> StopPhase.DRAIN
+        }
+
+    /**
+     * Returns whether a call that arrives at [now] and expires at [deadline] is taken.
+     *
+     * After the notice only calls that belong to a request in flight are: those that the backend server makes while it runs one
+     * ([isOfRunningRequest]). They must expire before the node ends.
+     */
+    public fun accepts(
+        deadline: Moment?,
+        isOfRunningRequest: Boolean,
+        now: Moment,
+    ): Boolean = now < noticeEndsAt || (isOfRunningRequest && deadline != null && deadline < endsAt)
+
+    private companion object {
+        /** The notice is at most this part of the grace time. */
+        const val LONGEST_NOTICE = 2.5
+
+        /** This part of the grace time is left for closing connections and ending the process. */
+        const val CLOSING_TIME = 12
+    }
+}
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -9,6 +9,7 @@
 import org.celeryusher.kernel.error.RunStatus
 import org.celeryusher.kernel.error.isRecoverable
 import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.kernel.shutdown.StopSchedule
 import org.celeryusher.kernel.time.StallDetector
 import org.celeryusher.node.http.HeaderField
 import org.celeryusher.node.http.HttpHandler
@@ -20,6 +21,7 @@
 import org.celeryusher.node.runtime.ProcessClock
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The HTTP endpoint for callers: passes each request to the proxy and encodes its result as a response. */
 internal class CallerEndpoint(
@@ -27,6 +29,7 @@
     private val tickets: TicketRouter,
     private val clock: ProcessClock,
     private val headers: CallHeaders,
+    private val retries: RetryAccount,
     private val ownService: ServiceName,
     private val decisions: DecisionLog,
 ) : HttpHandler {
@@ -34,14 +37,14 @@
     private val running = AtomicInteger()
 
     @Volatile
-    private var isStopping = false
+    private var stop: StopSchedule? = null
 
     /** The number of calls from callers that are in flight. */
     val inFlight: Int get() = running.get()
 
-    /** Refuses new calls from now on. Calls in flight continue. */
-    fun refuseNewCalls() {
-        isStopping = true
+    /** Refuses the new calls that [schedule] does not accept from now on. Calls in flight continue. */
+    fun beginStop(schedule: StopSchedule) {
+        stop = schedule
     }
 
     /** Detects and logs stalls of this process (periods in which it gets no processor time) until cancelled. */
@@ -60,7 +63,7 @@
     override suspend fun answer(request: HttpRequest): HttpResponse {
         running.incrementAndGet()
         try {
-            return if (isStopping) responseOf(CallResult.Failed(ErrorKind.NODE_STOPPING), request) else respondWhileServing(request)
+            return if (isRefused(request)) responseOf(CallResult.Failed(ErrorKind.NODE_STOPPING), request) else respondWhileServing(request)
         } catch (error: CancellationException) {
             throw error
         } catch (error: Throwable) {
@@ -98,6 +101,17 @@
 
     private suspend fun respondWhileServing(request: HttpRequest): HttpResponse {
         val arrived = synchronized(stalls) { stalls.earliestArrival(clock.now()) }
+    private fun isRefused(request: HttpRequest): Boolean {
+        val schedule = stop ?: return false
+        val now = clock.now()
+        val deadline =
+            request.headers
+                .value(headers.deadline)
+                ?.toLongOrNull()
+                ?.let { now + it.milliseconds }
+        return !schedule.accepts(deadline, isOfRunningRequest = deadline != null && retries.mayMakeCall(deadline, now), now)
+    }
+
         RequestTarget.faultOf(request.target)?.let { return responseOf(CallResult.Failed(ErrorKind.BAD_REQUEST, it), request) }
         if (request.method == "POST" && request.target.substringBefore('?') == TICKET_PATH) return issueTicket(request)
         val forwarded = request.headers.filterNot { ConnectionHeaders.contains(it.name) || headers.isSetByNodes(it.name) }
--- a/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
@@ -1,9 +1,7 @@
 package org.celeryusher.node.call
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.admission.AdmissionPolicy
 import org.celeryusher.kernel.admission.GuardLoad
 import org.celeryusher.kernel.configuration.CallerLimits
@@ -16,6 +14,7 @@
 import org.celeryusher.kernel.membership.MemberState
 import org.celeryusher.kernel.membership.MembershipView
 import org.celeryusher.kernel.routing.DataCentreDistances
+import org.celeryusher.kernel.shutdown.StopSchedule
 import org.celeryusher.node.http.ConnectionLimits
 import org.celeryusher.node.http.HttpConnectionPool
 import org.celeryusher.node.http.HttpListener
@@ -124,14 +123,17 @@
             callLog,
             awaitFreshView,
         )
-    private val callers = CallerEndpoint(proxy, tickets, clock, headers, settings.service, decisions)
+    private val callers = CallerEndpoint(proxy, tickets, clock, headers, retries, settings.service, decisions)
     private val listener = HttpListener(settings.addresses.callers, resources.network, ::callerLimits, callers)
 
     /** The load of the guard, or a load without capacity until a configuration with the service of this node is in force. */
     val load: GuardLoad get() = guard.load() ?: NO_CAPACITY
 
-    /** The number of calls from callers and attempts at the guard that are in flight. */
-    val inFlight: Int get() = callers.inFlight + guard.inFlight
+    /** What is in flight. */
+    val inFlight: CallsInFlight get() = CallsInFlight(listener.inFlight, guard.inFlight, frameServer.inFlight)
+
+    @Volatile
+    private var isStopping = false
 
     /** Whether this node knows enough of the crashes in the fleet to place calls. */
     val isInformed: Boolean get() = crashReports?.isInformed ?: true
@@ -162,15 +164,26 @@
     /** Refuses queued and new calls to the backend server as not run. Calls from callers to other backend servers continue. */
     fun drain(): Unit = guard.drain()
 
-    /** Refuses new calls from callers, and waits until all answers are sent or the drain limit has passed. */
-    suspend fun drainCallers() {
-        callers.refuseNewCalls()
-        listener.closeAfterResponses()
-        withTimeoutOrNull(drainLimit()) {
-            while (listener.inFlight + guard.inFlight + frameServer.inFlight > 0) delay(DRAIN_POLL_INTERVAL)
-        }
+    /** Refuses all new calls to the backend server, and those of callers that [schedule] does not accept. */
+    fun beginStop(schedule: StopSchedule) {
+        isStopping = true
+        guard.drain()
+        callers.beginStop(schedule)
     }
 
+    /** Closes each connection of a caller after its next response. */
+    fun closeCallersAfterResponses(): Unit = listener.closeAfterResponses()
+
+    /** How long a graceful shutdown waits for calls in flight if the deployment does not state a grace time. */
+    val drainLimit: Duration
+        get() {
+            val configured =
+                routing.current.snapshot
+                    ?.effectiveSettings(place)
+                    ?.drainLimitMilliseconds
+            return (configured ?: limits.drainLimitMilliseconds).milliseconds
+        }
+
     /** Closes the listeners and all connections to callers, other nodes and the backend server. */
     fun close() {
         listener.stop()
@@ -187,7 +200,8 @@
         val server = current.view.members.firstOrNull { it.serverAddress == settings.backendServer && it.state != MemberState.DEAD }
         applyPolicy(current.snapshot, server)
         retries.updateView(current.view, server, server?.service ?: settings.service, retryBounds(current.snapshot))
-        if (isServerListedSeparately) guard.changeServer(server?.instance, server?.incarnation)
+        // A server that starts anew beside a stopping node would end the drain of its guard.
+        if (isServerListedSeparately && !isStopping) guard.changeServer(server?.instance, server?.incarnation)
         if (server?.state == MemberState.LEAVING) guard.drain()
     }
 
@@ -232,17 +246,8 @@
         )
     }
 
-    private fun drainLimit(): Duration {
-        val configured =
-            routing.current.snapshot
-                ?.effectiveSettings(place)
-                ?.drainLimitMilliseconds
-        return (configured ?: limits.drainLimitMilliseconds).milliseconds
-    }
-
     private companion object {
         val NO_CAPACITY = GuardLoad(limit = 0, running = 0, queued = 0, ranks = emptyList())
         val DEFAULT_RETRY_WINDOW = 10.seconds
-        val DRAIN_POLL_INTERVAL = 10.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/RetryAccount.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/RetryAccount.kt
@@ -99,6 +99,13 @@
         now: Moment,
     ): Boolean = runs.isCertainlyOfCaller(target, deadline, now)
 
+    /** Returns whether the server beside this node may make a call that expires at [deadline] for a request that it is running. */
+    @Synchronized
+    fun mayMakeCall(
+        deadline: Moment,
+        now: Moment,
+    ): Boolean = runs.mayMakeCall(deadline, now)
+
     /** Returns what the repeat [attempt] on [route] was charged, or null if this service or one that the run calls does not bear it. */
     suspend fun admit(
         attempt: AttemptId,
--- a/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/command/NodeCommand.kt
@@ -1,6 +1,9 @@
 package org.celeryusher.node.command
 
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.node.runtime.Node
 import org.celeryusher.node.settings.NodeSettings
 import org.celeryusher.node.settings.NodeSettingsReader
@@ -10,6 +13,7 @@
 import java.nio.file.Path
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs one node until the process receives a signal to stop. */
 public class NodeCommand : Command {
@@ -60,25 +64,40 @@
         file: Path,
         output: CommandOutput,
     ): ExitStatus {
+        val hasStarted = CompletableDeferred<Boolean>()
+        // SIGTERM can arrive while the node starts and already has calls.
+        Runtime.getRuntime().addShutdownHook(
+            Thread {
+                if (runBlocking { stopOnceStarted(node, hasStarted) }) {
+                    // Otherwise the JVM would report the signal as a failure, but a graceful shutdown is a success.
+                    Runtime.getRuntime().halt(ExitStatus.OK.code)
+                }
+            },
+        )
         try {
             runBlocking { node.start() }
+            hasStarted.complete(true)
         } catch (error: IOException) {
-            runBlocking { node.stop() }
+            hasStarted.complete(false)
+            runBlocking { node.halt() }
             output.error.println("celeryusher node: cannot listen at ${addressesOf(node)}: ${error.message}")
             return ExitStatus.FAILURE
         }
-        Runtime.getRuntime().addShutdownHook(
-            Thread {
-                runBlocking { node.stop() }
-                // Otherwise the JVM would report the signal as a failure, but a graceful shutdown is a success.
-                Runtime.getRuntime().halt(ExitStatus.OK.code)
-            },
-        )
         output.error.println("celeryusher node: ${node.settings.instance} accepts calls at ${node.settings.addresses.callers}")
         checkSettingsUntilStopped(SettingsChangeDetector(file, settings))
         return ExitStatus.OK
     }
 
+    /** Stops [node] and returns true, or returns false if its start has failed. */
+    private suspend fun stopOnceStarted(
+        node: Node,
+        hasStarted: Deferred<Boolean>,
+    ): Boolean {
+        if (withTimeoutOrNull(START_LIMIT) { hasStarted.await() } == false) return false
+        node.stop()
+        return true
+    }
+
     private fun checkSettingsUntilStopped(detector: SettingsChangeDetector) {
         while (true) {
             val signal = signals.poll(SETTINGS_POLL_SECONDS, TimeUnit.SECONDS)
@@ -91,6 +110,9 @@
 
         /** The settings file may change without a signal. The poll may be slow because no change takes effect before the next start. */
         const val SETTINGS_POLL_SECONDS = 5L
+
+        /** How long a stop waits for the end of the start. */
+        val START_LIMIT = 1.seconds
     }
 
     private fun addressesOf(node: Node): String = with(node.settings.addresses) { listOf(callers, control, frames, admin).joinToString() }
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
@@ -97,7 +97,7 @@
         val stream = HttpStream(connection)
         connections += stream
         try {
-            while (serveNext(stream)) continue
+            if (serveNext(stream, isNew = true)) while (serveNext(stream)) continue
         } catch (error: CancellationException) {
             throw error
         } catch (error: IOException) {
@@ -110,8 +110,11 @@
     }
 
     /** Serves one request; returns whether the connection stays open. */
-    private suspend fun serveNext(stream: HttpStream): Boolean {
-        if (!awaitRequest(stream)) return false
+    private suspend fun serveNext(
+        stream: HttpStream,
+        isNew: Boolean = false,
+    ): Boolean {
+        if (!awaitRequest(stream, isNew)) return false
         exchanges.incrementAndGet()
         try {
             return serveStarted(stream)
@@ -153,9 +156,13 @@
     private fun hasClientLeft(stream: HttpStream): Boolean =
         stream.isEnded && network.now() - stream.receivedSince > HALF_CLOSE_GRACE + EventLoop.POLL_INTERVAL
 
-    private suspend fun awaitRequest(stream: HttpStream): Boolean {
+    private suspend fun awaitRequest(
+        stream: HttpStream,
+        isNew: Boolean,
+    ): Boolean {
         if (stream.bufferedBytes > 0) return true
-        if (isClosing) return false
+        // The first request on a new connection is answered, so that its caller learns that it has not run.
+        if (isClosing && !isNew) return false
         idle += stream
         try {
             return withTimeoutOrNull(limits().idleTimeoutMilliseconds) { stream.fill() } ?: false
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -7,9 +7,12 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.configuration.FleetPlace
 import org.celeryusher.kernel.identity.Incarnation
+import org.celeryusher.kernel.shutdown.StopPhase
+import org.celeryusher.kernel.shutdown.StopSchedule
 import org.celeryusher.node.admin.AdminPages
 import org.celeryusher.node.admin.StatusReporter
 import org.celeryusher.node.admin.statusProviders
@@ -33,6 +36,7 @@
 import org.celeryusher.node.source.PlatformFleetControl
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A node in front of one backend server: proxy, admission control (guard), configuration distribution and fleet membership. */
 public class Node(
@@ -110,19 +114,44 @@
     /**
      * Stops gracefully.
      *
-     * The node announces that it leaves and still accepts calls for the duration of the leave notice. Then it refuses new calls, waits up
-     * to the drain limit for the calls in flight, and closes all connections.
+     * The node announces that it leaves and still accepts calls for the duration of the leave notice. Then it refuses new calls, waits for
+     * the calls in flight as [StopSchedule] says, and closes all connections.
      */
     public suspend fun stop() {
+        val notice = settings.control.leaveNoticeMilliseconds.milliseconds
+        val schedule = StopSchedule(clock.now(), notice, settings.bounds.grace, dataPlane.drainLimit)
         isStopping = true
-        logger.info { "node ${settings.instance} is stopping: ${dataPlane.inFlight} calls in flight" }
+        val limit = schedule.endsAt - clock.now()
+        logger.info { "node ${settings.instance} is stopping, at the latest in $limit; in flight: ${dataPlane.inFlight}" }
+        dataPlane.beginStop(schedule)
         control.leave()
-        dataPlane.drain()
-        delay(settings.control.leaveNoticeMilliseconds.milliseconds)
-        dataPlane.drainCallers()
+        awaitEnd(schedule)
+        val cut = dataPlane.inFlight
+        if (cut.total > 0) logger.warn { "node ${settings.instance} ends with calls in flight: $cut" }
+        val isClosed = withTimeoutOrNull(CLOSING_LIMIT) { close() } != null
+        logger.info { "node ${settings.instance} stopped${if (isClosed) "" else "; its tasks did not end within $CLOSING_LIMIT"}" }
+    }
+
+    private suspend fun awaitEnd(schedule: StopSchedule) {
+        var reportAt = clock.now() + STOP_REPORT_INTERVAL
+        var before = StopPhase.NOTICE
+        while (true) {
+            val now = clock.now()
+            val phase = schedule.phase(dataPlane.inFlight.total, now)
+            if (phase == StopPhase.END) return
+            if (phase != before) dataPlane.closeCallersAfterResponses()
+            before = phase
+            if (now >= reportAt) {
+                logger.info { "node ${settings.instance} is stopping: $phase, in flight: ${dataPlane.inFlight}" }
+                reportAt = now + STOP_REPORT_INTERVAL
+            }
+            delay(STOP_POLL_INTERVAL)
+        }
+    }
+
+    private suspend fun close() {
         control.stop()
         halt()
-        logger.info { "node ${settings.instance} stopped: ${dataPlane.inFlight} calls aborted" }
     }
 
     /** Stops at once as a killed process would: without an announcement and without waiting for calls in flight. */
@@ -178,6 +207,11 @@
     private companion object {
         const val RANDOM_BITS = 20
         val REFRESH_POLL = 5.milliseconds
+        val STOP_POLL_INTERVAL = 10.milliseconds
+        val STOP_REPORT_INTERVAL = 1.seconds
+
+        /** How long tasks may take to end after all connections are closed. Nobody waits for them any more. */
+        val CLOSING_LIMIT = 200.milliseconds
         val logger = KotlinLogging.logger {}
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/NodeSettings.kt
@@ -100,8 +100,12 @@
     public val interDataCentreMicroseconds: Long = 1_500,
     /** The cost of one kilobyte of an answer from another data centre, as an equivalent wait in microseconds; 0 if such traffic is free. */
     public val interDataCentreMicrosecondsPerKilobyte: Long = 0,
-    /** How long a stopping node still accepts calls, so that callers and other nodes learn first that it leaves. */
-    public val leaveNoticeMilliseconds: Long = 2_000,
+    /**
+     * How long a stopping node still accepts calls, so that callers and other nodes learn first that it leaves.
+     *
+     * The default is longer than two checks of readiness, one a second.
+     */
+    public val leaveNoticeMilliseconds: Long = 2_200,
     /** Whether this node reads the platform directly and accepts no configuration from other nodes; the baseline for measurements. */
     public val readsPlatformAlone: Boolean = false,
 )
