Share one memory budget among the messages in flight

Other operators saw a faulty server send bytes without end until the node beside it ran out of memory, which cost other callers their requests.

Cause: each message had a limit of its own (16 MiB), and nothing bounded them together. Buffers doubled, and large answers were copied whole for writing.

What does not fit is refused at once: 503 with a time to come back for a request, 502 for an answer. Frames that are queued or arriving count. Large bodies are written without a copy, in parts.

--- a/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallerEndpoint.kt
@@ -94,13 +94,13 @@
                     RequestFault.MALFORMED, RequestFault.ENDED_EARLY -> ErrorKind.BAD_REQUEST
                     RequestFault.HEAD_TOO_LARGE, RequestFault.BODY_TOO_LARGE -> ErrorKind.REQUEST_TOO_LARGE
                     RequestFault.TIMED_OUT -> ErrorKind.REQUEST_TIMEOUT
+                    RequestFault.TOO_LITTLE_MEMORY -> ErrorKind.OVERLOADED
                 },
                 detail,
+                MEMORY_RETRY_AFTER.takeIf { fault == RequestFault.TOO_LITTLE_MEMORY },
             ),
         )
 
-    private suspend fun respondWhileServing(request: HttpRequest): HttpResponse {
-        val arrived = synchronized(stalls) { stalls.earliestArrival(clock.now()) }
     private fun isRefused(request: HttpRequest): Boolean {
         val schedule = stop ?: return false
         val now = clock.now()
@@ -112,6 +112,8 @@
         return !schedule.accepts(deadline, isOfRunningRequest = deadline != null && retries.mayMakeCall(deadline, now), now)
     }
 
+    private suspend fun respondWhileServing(request: HttpRequest): HttpResponse {
+        val arrived = synchronized(stalls) { stalls.earliestArrival(clock.now()) }
         RequestTarget.faultOf(request.target)?.let { return responseOf(CallResult.Failed(ErrorKind.BAD_REQUEST, it), request) }
         if (request.method == "POST" && request.target.substringBefore('?') == TICKET_PATH) return issueTicket(request)
         val forwarded = request.headers.filterNot { ConnectionHeaders.contains(it.name) || headers.isSetByNodes(it.name) }
@@ -182,6 +184,9 @@
     private companion object {
         const val TICKET_PATH = "/-/tickets"
         const val CREATED = 201
+
+        /** About the time in which large requests end and release their memory. */
+        val MEMORY_RETRY_AFTER = 500.milliseconds
         val JSON_CONTENT = HeaderField("Content-Type", "application/json")
         val logger = KotlinLogging.logger {}
     }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.celeryusher.node.net.MessageMemory
 import java.nio.ByteBuffer
 
 /** Thrown when a frame cannot be decoded; its connection is closed. */
@@ -47,12 +48,10 @@
         }
 
     /** Returns the encoded frame [bytes] with the length prefix, as they are sent. */
-    fun framed(bytes: ByteArray): ByteArray =
-        ByteBuffer
-            .allocate(LENGTH_BYTES + bytes.size)
-            .putInt(bytes.size)
-            .put(bytes)
-            .array()
+    fun framed(bytes: ByteArray): ByteArray = prefixOf(bytes) + bytes
+
+    /** Returns the length prefix of the encoded frame [bytes]. */
+    fun prefixOf(bytes: ByteArray): ByteArray = ByteBuffer.allocate(LENGTH_BYTES).putInt(bytes.size).array()
 
     /** The size of the length prefix. */
     const val LENGTH_BYTES: Int = 4
@@ -61,10 +60,12 @@
 /** Splits a byte stream into frames. A length above [maximumBytes] is rejected before a buffer for the frame is allocated. */
 internal class FrameReader(
     private val maximumBytes: Int,
-) {
+    private val memory: MessageMemory,
+) : AutoCloseable {
     private val length = ByteBuffer.allocate(FrameCodec.LENGTH_BYTES)
     private var body: ByteBuffer? = null
     private var bodyBytes = 0
+    private var takenBytes = 0
     private val ready = ArrayDeque<Frame>()
 
     /**
@@ -91,7 +92,18 @@
     private fun enlarge() {
         val full = body ?: return
         full.flip()
-        body = ByteBuffer.allocate(minOf(bodyBytes.toLong(), full.capacity() * 2L).toInt()).put(full)
+        body = allocate(minOf(bodyBytes.toLong(), full.capacity() * 2L).toInt()).put(full)
+    }
+
+    private fun allocate(bytes: Int): ByteBuffer {
+        memory.take(bytes - takenBytes)
+        takenBytes = bytes
+        return ByteBuffer.allocate(bytes)
+    }
+
+    override fun close() {
+        memory.release(takenBytes)
+        takenBytes = 0
     }
 
     private fun complete(target: ByteBuffer) {
@@ -100,9 +112,10 @@
             length.clear()
             if (bytes !in 1..maximumBytes) throw MalformedFrameException("frame length $bytes is not in 1..$maximumBytes")
             bodyBytes = bytes
-            body = ByteBuffer.allocate(minOf(bytes, INITIAL_BODY_BYTES))
+            body = allocate(minOf(bytes, INITIAL_BODY_BYTES))
         } else if (target.capacity() == bodyBytes) {
             body = null
+            close()
             ready += FrameCodec.decode(target.array())
         }
     }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.launch
+import org.celeryusher.node.net.MessageMemory
 import org.celeryusher.node.net.TcpConnection
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
@@ -19,6 +20,7 @@
 internal class FrameConnection(
     private val connection: TcpConnection,
     private val maximumFrameBytes: Int,
+    private val memory: MessageMemory,
     private val onFrame: (FrameConnection, Frame) -> Unit,
     private val onClosed: (FrameConnection, Throwable?) -> Unit,
 ) {
@@ -44,27 +46,41 @@
 
     /** Queues an [encoded] frame; returns false as for [send] of a frame. */
     fun send(encoded: ByteArray): Boolean {
-        unsent.incrementAndGet()
+        recordQueued(encoded)
         val isQueued = outgoing.trySend(encoded).isSuccess
-        if (!isQueued) unsent.decrementAndGet()
+        if (!isQueued) recordSent(1, encoded.size)
         return isQueued
     }
 
     /** Queues [frame], suspending while the queue is full; returns false when the connection is closed. */
     suspend fun sendSuspending(frame: Frame): Boolean {
         var isQueued = false
-        unsent.incrementAndGet()
+        val encoded = FrameCodec.encode(frame)
+        recordQueued(encoded)
         try {
-            outgoing.send(FrameCodec.encode(frame))
+            outgoing.send(encoded)
             isQueued = true
         } catch (_: ClosedSendChannelException) {
             // The caller handles a closed connection.
         } finally {
-            if (!isQueued) unsent.decrementAndGet()
+            if (!isQueued) recordSent(1, encoded.size)
         }
         return isQueued
     }
 
+    private fun recordQueued(encoded: ByteArray) {
+        unsent.incrementAndGet()
+        memory.take(encoded.size)
+    }
+
+    private fun recordSent(
+        frames: Int,
+        bytes: Int,
+    ) {
+        unsent.addAndGet(-frames)
+        memory.release(bytes)
+    }
+
     /** Closes the connection. */
     fun close() {
         isOpen = false
@@ -74,29 +90,48 @@
 
     private suspend fun writeFrames() {
         try {
-            for (first in outgoing) {
-                var batch = FrameCodec.framed(first)
-                var frames = 1
-                while (batch.size < MAXIMUM_BATCH_BYTES) {
-                    batch += FrameCodec.framed(outgoing.tryReceive().getOrNull() ?: break)
-                    frames++
-                }
-                connection.write(batch)
-                unsent.addAndGet(-frames)
-            }
+            for (first in outgoing) if (first.size < MAXIMUM_BATCH_BYTES) writeBatch(first) else writeLarge(first)
         } catch (_: IOException) {
             // The reader fails with the same error and reports it.
         } catch (error: OutOfMemoryError) {
             logger.error(error) { "too little memory to send a frame; connection closed" }
         } finally {
             close()
+            discardUnsent()
+        }
+    }
+
+    private suspend fun writeBatch(first: ByteArray) {
+        var batch = FrameCodec.framed(first)
+        var frames = 1
+        while (batch.size < MAXIMUM_BATCH_BYTES) {
+            batch += FrameCodec.framed(outgoing.tryReceive().getOrNull() ?: break)
+            frames++
         }
+        try {
+            connection.write(batch)
+        } finally {
+            recordSent(frames, batch.size - frames * FrameCodec.LENGTH_BYTES)
+        }
+    }
+
+    private suspend fun writeLarge(encoded: ByteArray) {
+        try {
+            connection.write(FrameCodec.prefixOf(encoded))
+            connection.write(encoded)
+        } finally {
+            recordSent(1, encoded.size)
+        }
+    }
+
+    private fun discardUnsent() {
+        while (true) recordSent(1, outgoing.tryReceive().getOrNull()?.size ?: break)
     }
 
     private suspend fun readFrames() {
         var cause: Throwable? = null
+        val reader = FrameReader(maximumFrameBytes, memory)
         try {
-            val reader = FrameReader(maximumFrameBytes)
             while (connection.read(reader::add)) {
                 while (true) onFrame(this, reader.next() ?: break)
             }
@@ -105,6 +140,7 @@
         } catch (error: OutOfMemoryError) {
             cause = MalformedFrameException("too little memory for a frame", error)
         } finally {
+            reader.close()
             close()
             onClosed(this, cause)
         }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameServer.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
 import org.celeryusher.kernel.admission.LoadReportAudience
 import org.celeryusher.kernel.admission.LoadReportFilter
 import org.celeryusher.kernel.error.ErrorKind
@@ -93,6 +94,7 @@
             FrameConnection(
                 accepted,
                 maximumFrameBytes,
+                network.memory,
                 onFrame = { connection, frame -> receive(connection, frame, running, scope) },
                 onClosed = { connection, cause -> closed(connection, cause, running) },
             )
@@ -175,8 +177,12 @@
                 kind = frame.kind,
             )
         calls.incrementAndGet()
-        launchExchange(connection, frame.exchange, running, scope) { answerOf(frame.exchange, guard.run(call)) }
-            .invokeOnCompletion { calls.decrementAndGet() }
+        val account = network.memory.open().also { it.take(frame.body.size) }
+        launchExchange(connection, frame.exchange, running, scope + account) { answerOf(frame.exchange, guard.run(call)) }
+            .invokeOnCompletion {
+                account.close()
+                calls.decrementAndGet()
+            }
     }
 
     private fun answerQuery(
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -14,6 +14,7 @@
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.RouteName
+import org.celeryusher.node.net.MessageMemory
 import org.celeryusher.node.net.TcpNetwork
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.IOException
@@ -207,13 +208,14 @@
             kind = call.kind,
         )
 
-    private fun replyOf(
+    private suspend fun replyOf(
         frame: Frame,
         open: OpenConnection,
     ): GuardReply =
         when (frame) {
             is Frame.Answer -> {
                 open.updateClock(frame.uptime, clock)
+                MessageMemory.account()?.take(frame.body.size)
                 GuardReply(verifyBodyLength(frame), frame.load)
             }
 
@@ -274,6 +276,7 @@
             FrameConnection(
                 connection,
                 maximumFrameBytes,
+                network.memory,
                 onFrame = { _, frame ->
                     when (frame) {
                         is Frame.Hello -> handshake.complete(frame)
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
@@ -123,7 +123,7 @@
         var isReturned = false
         val progress = Progress()
         try {
-            stream.write(HttpWriter.encode(request))
+            HttpWriter.encode(request).forEach { stream.write(it) }
             val head = readFinalHead(stream, request.method, ownerOf, progress)
             val framing = head.framing(request.method)
             val body = stream.readBody(framing, limits.maximumBodyBytes)
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpListener.kt
@@ -11,10 +11,12 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.node.net.EventLoop
+import org.celeryusher.node.net.MessageMemoryException
 import org.celeryusher.node.net.TcpConnection
 import org.celeryusher.node.net.TcpListener
 import org.celeryusher.node.net.TcpNetwork
@@ -32,6 +34,7 @@
     BODY_TOO_LARGE,
     ENDED_EARLY,
     TIMED_OUT,
+    TOO_LITTLE_MEMORY,
 }
 
 /** Handles the requests of an [HttpListener]. */
@@ -116,9 +119,11 @@
     ): Boolean {
         if (!awaitRequest(stream, isNew)) return false
         exchanges.incrementAndGet()
+        val account = network.memory.open()
         try {
-            return serveStarted(stream)
+            return withContext(account) { serveStarted(stream) }
         } finally {
+            account.close()
             exchanges.decrementAndGet()
         }
     }
@@ -186,7 +191,7 @@
     ): ReadResult<ByteArray> =
         readWithin(limits.idleTimeoutMilliseconds.milliseconds, RequestFault.BODY_TOO_LARGE) {
             val framing = head.framing()
-            if (framing != BodyFraming.Length(0) && head.headers.hasToken("Expect", "100-continue")) write(stream, CONTINUE)
+            if (framing != BodyFraming.Length(0) && head.headers.hasToken("Expect", "100-continue")) write(stream, listOf(CONTINUE))
             stream.readBody(framing, limits.maximumBodyBytes)
         }
 
@@ -202,6 +207,8 @@
             ReadResult.Failed(RequestFault.MALFORMED, error.message.orEmpty())
         } catch (error: MessageTooLargeException) {
             ReadResult.Failed(tooLarge, error.message.orEmpty())
+        } catch (error: MessageMemoryException) {
+            ReadResult.Failed(RequestFault.TOO_LITTLE_MEMORY, error.message.orEmpty())
         } catch (error: java.io.EOFException) {
             ReadResult.Failed(RequestFault.ENDED_EARLY, error.message.orEmpty())
         }
@@ -259,11 +266,11 @@
 
     private suspend fun write(
         stream: HttpStream,
-        bytes: ByteArray,
+        message: List<ByteArray>,
     ) {
         val written =
             withTimeoutOrNull(WRITE_TIMEOUT) {
-                stream.write(bytes)
+                message.forEach { stream.write(it) }
                 true
             }
         if (written == null) throw IOException("the client did not read the response within $WRITE_TIMEOUT")
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpMessages.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpMessages.kt
@@ -17,7 +17,7 @@
     val body: ByteArray,
 )
 
-/** Encodes complete messages with a `Content-Length`. */
+/** Encodes complete messages with a `Content-Length`, as one part or, with a large body, as two that need no copy of it. */
 internal object HttpWriter {
     private val reasonPhrases =
         mapOf(
@@ -36,7 +36,7 @@
         )
 
     /** Returns the encoded [request]. */
-    fun encode(request: HttpRequest): ByteArray {
+    fun encode(request: HttpRequest): List<ByteArray> {
         val head =
             buildString(EXPECTED_HEAD_CHARACTERS) {
                 append(request.method)
@@ -49,7 +49,7 @@
                 if (request.body.isNotEmpty() || request.method in METHODS_WITH_BODY) appendLength(request.body.size)
                 append("\r\n")
             }
-        return head.toByteArray(Charsets.ISO_8859_1) + request.body
+        return partsOf(head.toByteArray(Charsets.ISO_8859_1), request.body)
     }
 
     /**
@@ -61,7 +61,7 @@
         response: HttpResponse,
         method: String,
         isKeepAlive: Boolean,
-    ): ByteArray {
+    ): List<ByteArray> {
         val head =
             buildString(EXPECTED_HEAD_CHARACTERS) {
                 append("HTTP/1.1 ")
@@ -75,9 +75,14 @@
                 append("\r\n")
             }
         val bytes = head.toByteArray(Charsets.ISO_8859_1)
-        return if (method == "HEAD") bytes else bytes + response.body
+        return if (method == "HEAD") listOf(bytes) else partsOf(bytes, response.body)
     }
 
+    private fun partsOf(
+        head: ByteArray,
+        body: ByteArray,
+    ): List<ByteArray> = if (body.size > LARGEST_COPIED_BODY_BYTES) listOf(head, body) else listOf(head + body)
+
     private fun StringBuilder.appendFields(fields: List<HeaderField>) {
         for (field in fields) append(field.name).append(": ").append(field.value).append("\r\n")
     }
@@ -87,6 +92,7 @@
     }
 
     private const val EXPECTED_HEAD_CHARACTERS = 512
+    private const val LARGEST_COPIED_BODY_BYTES = 131_072
     private const val NO_CONTENT = 204
     private const val NOT_MODIFIED = 304
     private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
@@ -1,8 +1,9 @@
 package org.celeryusher.node.http
 
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.net.MessageMemory
+import org.celeryusher.node.net.MessageMemoryException
 import org.celeryusher.node.net.TcpConnection
-import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
 
@@ -76,7 +77,11 @@
         }
     }
 
-    /** Returns the complete body, which is delimited by [framing]. */
+    /**
+     * Returns the complete body, which is delimited by [framing]. Its memory is charged to the account of the calling coroutine.
+     *
+     * @throws MessageMemoryException when there is too little memory for it.
+     */
     suspend fun readBody(
         framing: BodyFraming,
         maximumBytes: Int,
@@ -106,32 +111,50 @@
     /** Sends [bytes]. */
     suspend fun write(bytes: ByteArray): Unit = connection.write(bytes)
 
-    private suspend fun readExactly(count: Int): ByteArray {
-        if (count == 0) return NO_BYTES
-        // The array grows with the received bytes, so that a peer cannot make this process allocate memory by stating a length alone.
-        var result = ByteArray(minOf(count, INITIAL_BODY_BYTES))
-        var filled = 0
-        while (filled < count) {
-            if (bufferedBytes == 0 && !fill()) throw EOFException("the stream ended after $filled of $count body bytes")
-            if (filled == result.size) result = result.copyOf(minOf(count.toLong(), result.size * 2L).toInt())
-            filled += drainInto(result, filled)
-        }
-        return result
-    }
-
     private suspend fun readChunks(maximumBytes: Int): ByteArray {
-        val body = ByteArrayOutputStream()
+        val body = BodyBuffer(MessageMemory.account())
         while (true) {
             val size = chunkSize(readLine())
-            if (size > maximumBytes - body.size()) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
+            if (size > maximumBytes - body.size) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
             if (size == 0) break
-            body.writeBytes(readExactly(size))
+            readInto(body, size)
             if (readLine().isNotEmpty()) throw MalformedMessageException("a chunk is longer than its size")
         }
         skipTrailers()
         return body.toByteArray()
     }
 
+    private suspend fun readExactly(count: Int): ByteArray {
+        if (count == 0) return NO_BYTES
+        val body = BodyBuffer(MessageMemory.account(), expectedBytes = count)
+        readInto(body, count)
+        return body.toByteArray()
+    }
+
+    private suspend fun readInto(
+        body: BodyBuffer,
+        count: Int,
+    ) {
+        var left = count
+        while (left > 0) {
+            if (bufferedBytes == 0 && !fill()) throw EOFException("the stream ended $left bytes before the end of the body")
+            val part = minOf(bufferedBytes, left)
+            body.append(buffer, start, part)
+            start += part
+            left -= part
+        }
+    }
+
+    private suspend fun readToEnd(maximumBytes: Int): ByteArray {
+        val body = BodyBuffer(MessageMemory.account())
+        do {
+            if (bufferedBytes > maximumBytes - body.size) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
+            body.append(buffer, start, bufferedBytes)
+            start = end
+        } while (fill())
+        return body.toByteArray()
+    }
+
     private suspend fun skipTrailers() {
         var left = MAXIMUM_TRAILER_BYTES
         while (true) {
@@ -169,23 +192,6 @@
         }
     }
 
-    private suspend fun readToEnd(maximumBytes: Int): ByteArray {
-        while (fill()) {
-            if (bufferedBytes > maximumBytes) throw MessageTooLargeException("the body has more than $maximumBytes bytes")
-        }
-        return buffer.copyOfRange(start, end).also { start = end }
-    }
-
-    private fun drainInto(
-        target: ByteArray,
-        offset: Int,
-    ): Int {
-        val count = minOf(bufferedBytes, target.size - offset)
-        buffer.copyInto(target, offset, start, start + count)
-        start += count
-        return count
-    }
-
     /** Consumes empty lines and returns the number of their bytes. */
     private fun skipEmptyLines(): Int {
         val before = start
@@ -236,7 +242,6 @@
 
         // Limits the memory that an idle connection retains after a large message.
         const val MAXIMUM_RETAINED_BUFFER_BYTES = 65_536
-        const val INITIAL_BODY_BYTES = 65_536
         const val MAXIMUM_CHUNK_LINE_BYTES = 4_096
         const val MAXIMUM_TRAILER_BYTES = 65_536
         const val MAXIMUM_CHUNK_SIZE_DIGITS = 8
--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
@@ -80,13 +80,15 @@
     suspend fun write(bytes: ByteArray) {
         val buffer = ByteBuffer.wrap(bytes)
         while (true) {
+            // The JDK copies what it is given to native memory, however little of it the socket takes.
+            buffer.limit(minOf(bytes.size, buffer.position() + LARGEST_WRITE_BYTES))
             try {
                 channel.write(buffer)
             } catch (error: ClosedChannelException) {
                 throw IOException(CLOSED_HERE, error)
             }
-            if (!buffer.hasRemaining()) return
-            awaitWritable(SelectionKey.OP_WRITE)
+            if (buffer.position() == bytes.size) return
+            if (buffer.hasRemaining()) awaitWritable(SelectionKey.OP_WRITE)
         }
     }
 
@@ -180,6 +182,7 @@
 
     private companion object {
         const val READ_BYTES = 8_192
+        const val LARGEST_WRITE_BYTES = 262_144
         const val CLOSED_HERE = "the connection was closed here"
         const val WRITE_OPERATIONS = SelectionKey.OP_WRITE or SelectionKey.OP_CONNECT
     }
--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpNetwork.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpNetwork.kt
@@ -21,6 +21,9 @@
 ) : AutoCloseable {
     private val loop = EventLoop(clock).apply { start() }
 
+    /** The memory for the messages on all connections. */
+    internal val memory: MessageMemory = MessageMemory()
+
     /** Returns the present time by the clock that [TcpConnection.receivedSince] refers to. */
     internal fun now(): Moment = clock.now()
 
--- a/node/src/test/kotlin/org/celeryusher/node/call/OddFramesTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/call/OddFramesTest.kt
@@ -6,6 +6,7 @@
 import org.celeryusher.kernel.execution.RequestFingerprint
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.node.net.MessageMemory
 import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
@@ -60,7 +61,7 @@
     @Test
     fun aStatedLengthAloneTakesNoMemory() {
         val before = usedBytes()
-        val readers = List(200) { FrameReader(64 * 1_024 * 1_024) }
+        val readers = List(200) { FrameReader(64 * 1_024 * 1_024, MessageMemory()) }
         for (reader in readers) {
             reader.add(
                 ByteBuffer
@@ -73,7 +74,7 @@
         assertTrue(usedBytes() - before < 64 * 1_024 * 1_024, "200 frames of 60 MiB were announced")
         val frame = Frame.SourceUpdate(1, 2, 3, configuration = ByteArray(1_000_000) { it.toByte() })
         val bytes = FrameCodec.framed(FrameCodec.encode(frame))
-        val reader = FrameReader(64 * 1_024 * 1_024)
+        val reader = FrameReader(64 * 1_024 * 1_024, MessageMemory())
         for (part in bytes.toList().chunked(70_000)) reader.add(ByteBuffer.wrap(part.toByteArray()))
         assertTrue((reader.next() as Frame.SourceUpdate).configuration.contentEquals(frame.configuration))
     }
--- a/standin/src/main/kotlin/org/celeryusher/standin/http/HttpListener.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/http/HttpListener.kt
@@ -143,6 +143,15 @@
                 call.header("Connection")?.lowercase() != "close"
             }
 
+            is HttpResponse.Endless -> {
+                output.writeFully(response.head.encodeToByteArray())
+                while (true) {
+                    output.writeFully(response.repeated)
+                    output.flush()
+                }
+                false
+            }
+
             is HttpResponse.WrongLength -> {
                 write(output, response.status, response.headers, response.body, response.declaredLength)
                 output.flushAndClose()
--- a/standin/src/main/kotlin/org/celeryusher/standin/http/HttpResponse.kt
+++ b/standin/src/main/kotlin/org/celeryusher/standin/http/HttpResponse.kt
@@ -17,6 +17,12 @@
         public val headers: List<HttpHeader> = emptyList(),
     ) : HttpResponse
 
+    /** A response that begins with [head] and repeats [repeated] until the caller closes the connection. */
+    public class Endless(
+        public val head: String,
+        public val repeated: ByteArray,
+    ) : HttpResponse
+
     /** No response. The connection is closed. */
     public data object Closed : HttpResponse
 
