Forget ended runs also at a node that callers do not use

By reading: the runs that a node remembers were discarded only when a call entered there, so at a node without callers they would have filled its memory. They are discarded at each start of a run as well. A body buffer starts at 16 KiB, which saves copies of ordinary answers.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/execution/ServerRuns.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/execution/ServerRuns.kt
@@ -34,6 +34,7 @@
         deadline: Moment,
         now: Moment,
     ) {
+        discardEnded(now)
         runs[attempt] = Run(route, deadline)
         estimator.started(route, now)
     }
@@ -55,7 +56,7 @@
         deadline: Moment?,
         now: Moment,
     ): Boolean {
-        runs.values.removeIf { it.endsAt + DELIVERY_MARGIN < now }
+        discardEnded(now)
         val isCertain = deadline != null && now >= provableFrom && runs.values.all { it.deadline + DELIVERY_MARGIN < deadline }
         estimator.arrived(target, isCertain, now)
         return isCertain
@@ -76,6 +77,10 @@
     /** Returns how many calls a run makes to each service, on average over all routes. */
     public fun meanCallsPerRun(now: Moment): Map<ServiceName, Double> = estimator.meanCallsPerRun(now)
 
+    private fun discardEnded(now: Moment) {
+        runs.values.removeIf { it.endsAt + DELIVERY_MARGIN < now }
+    }
+
     private companion object {
         /** How much later than it was sent a call may be read, and how much longer than stated here a run may believe to have. */
         val DELIVERY_MARGIN = 100.milliseconds
--- a/node/src/main/kotlin/org/celeryusher/node/http/BodyBuffer.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/BodyBuffer.kt
@@ -49,7 +49,7 @@
     }
 
     private companion object {
-        const val INITIAL_BYTES = 1_024
+        const val INITIAL_BYTES = 16_384
         val NO_BYTES = ByteArray(0)
     }
 }
