End a stop only after nothing has been in flight for a while

The node now refuses new calls for at least 0.3 s after the notice, and ends once nothing has been in flight for that long. StopScheduleTest has the sequence.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/shutdown/StopSchedule.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/shutdown/StopSchedule.kt
@@ -2,6 +2,7 @@
 
 import org.celeryusher.kernel.time.Moment
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** What a stopping node does at a time. */
 public enum class StopPhase {
@@ -18,9 +19,9 @@
 /**
  * The course of a graceful shutdown that began at [startedAt].
  *
- * Callers learn within [notice] that the node leaves. Then the node ends as soon as nothing is in flight. It ends in any case in time for its last
- * answers to leave before the process is killed, which happens [grace] after the start; where nothing is known of that, it waits for [drainLimit]
- * after the notice.
+ * Callers learn within [notice] that the node leaves. Then the node ends once nothing has been in flight for a short while, in which it sees also
+ * the requests that it has not begun to read. It ends in any case in time for its last answers to leave before the process is killed, which
+ * happens [grace] after the start; where nothing is known of that, it waits for [drainLimit] after the notice. Not thread-safe.
  */
 public class StopSchedule(
     private val startedAt: Moment,
@@ -28,6 +29,7 @@
     private val grace: Duration?,
     drainLimit: Duration,
 ) {
+    private var busyUntil = startedAt
     private val noticeEndsAt = startedAt + if (grace == null) notice else minOf(notice, grace / LONGEST_NOTICE)
 
     /** When the node ends although calls are in flight. */
@@ -37,13 +39,15 @@
     public fun phase(
         inFlight: Int,
         now: Moment,
-    ): StopPhase =
-        when {
+    ): StopPhase {
+        if (inFlight > 0) busyUntil = now
+        return when {
             now >= endsAt -> StopPhase.END
             now < noticeEndsAt -> StopPhase.NOTICE
-            inFlight == 0 -> StopPhase.END
+            now - maxOf(busyUntil, noticeEndsAt) >= QUIET_TIME -> StopPhase.END
             else -> StopPhase.DRAIN
         }
+    }
 
     /**
      * Returns whether a call that arrives at [now] and expires at [deadline] is taken.
@@ -58,6 +62,9 @@
     ): Boolean = now < noticeEndsAt || (isOfRunningRequest && deadline != null && deadline < endsAt)
 
     private companion object {
+        /** Longer than a request waits to be read while the process gets too little processor time. */
+        val QUIET_TIME = 300.milliseconds
+
         /** The notice is at most this part of the grace time. */
         const val LONGEST_NOTICE = 2.5
 
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/shutdown/StopScheduleTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/shutdown/StopScheduleTest.kt
@@ -26,7 +26,8 @@
             listOf(
                 Case(6.seconds, 0.seconds, 0, StopPhase.NOTICE),
                 Case(6.seconds, 1.9.seconds, 3, StopPhase.NOTICE),
-                Case(6.seconds, 2.seconds, 0, StopPhase.END),
+                Case(6.seconds, 2.seconds, 0, StopPhase.DRAIN),
+                Case(6.seconds, 2.3.seconds, 0, StopPhase.END),
                 Case(6.seconds, 2.seconds, 1, StopPhase.DRAIN),
                 Case(6.seconds, 5.4.seconds, 1, StopPhase.DRAIN),
                 Case(6.seconds, 5.5.seconds, 1, StopPhase.END),
@@ -34,13 +35,23 @@
                 Case(60.seconds, 54.9.seconds, 1, StopPhase.DRAIN),
                 Case(60.seconds, 55.seconds, 1, StopPhase.END),
                 Case(1.seconds, 399.milliseconds, 0, StopPhase.NOTICE),
-                Case(1.seconds, 400.milliseconds, 0, StopPhase.END),
+                Case(1.seconds, 400.milliseconds, 0, StopPhase.DRAIN),
+                Case(1.seconds, 700.milliseconds, 0, StopPhase.END),
                 Case(null, 11.9.seconds, 1, StopPhase.DRAIN),
                 Case(null, 12.seconds, 1, StopPhase.END),
             )
         for (case in cases) assertEquals(case.phase, schedule(case.grace).phase(case.inFlight, start + case.at), "$case")
     }
 
+    /** Guards against a stop that cuts a request which has arrived but not been read yet. */
+    @Test
+    fun aStopEndsOnlyAfterNothingHasBeenInFlightForAWhile() {
+        val schedule = schedule(10.seconds)
+        val inFlight = listOf(2.0 to 1, 2.2 to 0, 2.6 to 1, 2.7 to 0, 2.85 to 0, 2.9 to 0)
+        val phases = inFlight.map { (at, count) -> schedule.phase(count, start + at.seconds) }
+        assertEquals(List(5) { StopPhase.DRAIN } + StopPhase.END, phases)
+    }
+
     /** Guards against calls that are taken late in the grace time and cut at its end. */
     @Test
     fun afterTheNoticeOnlyCallsOfRunningRequestsThatEndInTimeAreTaken() {
