Log why a follower leaves its peer, and how many bytes have arrived

The log names the next node that is asked, not why the last one is left. Hypotheses of the late configurations differ just there: silence without bytes, silence while bytes arrive, or an answer with old data. Unanswered queries and reads of the platform now state what has arrived, and an answer that is not used states its age.

--- a/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
@@ -195,12 +195,12 @@
         listener.start(scope)
     }
 
-    /** Sends [query] to the node at [address] and returns its answer, or null when none arrives within [timeout]. */
+    /** Sends [query] to the node at [address] and returns its answer, or why there is none within [timeout]. */
     suspend fun query(
         address: Address,
         query: Frame.SourceQuery,
         timeout: Duration,
-    ): Frame.SourceUpdate? = frameClient.query(address, query, timeout)
+    ): SourceReply = frameClient.query(address, query, timeout)
 
     /** Begins slow start after a restart of the backend server: its share of calls rises gradually. */
     fun serverStarted(): Unit = guard.serverStarted()
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
@@ -101,12 +101,12 @@
         route: RouteName,
     ): TicketReply = channelTo(address).requestTicket(route)
 
-    /** Sends [query] to the node at [address] and returns its answer, or null when none arrives within [timeout]. */
+    /** Sends [query] to the node at [address] and returns its answer, or why there is none within [timeout]. */
     suspend fun query(
         address: Address,
         query: Frame.SourceQuery,
         timeout: Duration,
-    ): Frame.SourceUpdate? = channelTo(address).query(query, timeout)
+    ): SourceReply = channelTo(address).query(query, timeout)
 
     /** Sends [query] to the node at [address] and returns its answer, or null when none arrives within [timeout]. */
     suspend fun query(
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
@@ -40,6 +40,9 @@
     /** The number of bytes that the other node or the system between has taken. */
     val sentBytes: Long get() = connection.sentBytes
 
+    /** The number of bytes that have arrived. */
+    val receivedBytes: Long get() = connection.receivedBytes
+
     /** Whether the connection still accepts frames. */
     @Volatile
     var isOpen: Boolean = true
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -75,16 +75,20 @@
         }
     }
 
-    /** Sends [query] and returns its answer, or null when none arrives within [timeout]. */
+    /** Sends [query] and returns its answer, or why there is none within [timeout]. */
     suspend fun query(
         query: Frame.SourceQuery,
         timeout: Duration,
-    ): Frame.SourceUpdate? {
-        val open = openConnection() ?: return null
-        val update =
-            exchange(open, timeout.inWholeMilliseconds, ExchangeKind.QUERY, query::withExchange) as? Frame.SourceUpdate ?: return null
-        open.updateClock(update.uptime)
-        return update
+    ): SourceReply {
+        val open = openConnection() ?: return SourceReply.Unanswered("no connection")
+        val before = open.receivedBytes
+        val answer = exchange(open, timeout.inWholeMilliseconds, ExchangeKind.QUERY, query::withExchange)
+        if (answer !is Frame.SourceUpdate) {
+            val reason = if (answer == null) "no answer within $timeout" else "the connection was lost"
+            return SourceReply.Unanswered(reason, open.receivedBytes - before)
+        }
+        open.updateClock(answer.uptime)
+        return SourceReply.Answered(answer)
     }
 
     /** Sends [query] and returns its answer, or null when none arrives within [timeout] or the node is of a version that has none. */
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
@@ -80,10 +80,11 @@
     /**
      * Sends [request] and returns the result. Late responses to earlier requests, which [ownerOf] detects, are skipped.
      *
-     * Cancellation closes the connection, which signals the server that the response is no longer needed.
+     * Cancellation closes the connection, which signals the server that the response is no longer needed. [progress] shows what has arrived.
      */
     suspend fun exchange(
         request: HttpRequest,
+        progress: ReceiveProgress? = null,
         ownerOf: (ResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
     ): ExchangeResult {
         val stream =
@@ -94,6 +95,7 @@
             } catch (error: IOException) {
                 return ExchangeResult.NotConnected(describe(error), isRefused = false)
             }
+        progress?.begin(stream)
         return exchange(stream, request, ownerOf)
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpStream.kt
@@ -31,6 +31,9 @@
     private var start = 0
     private var end = 0
 
+    /** The number of bytes that have been received. */
+    val receivedBytes: Long get() = connection.receivedBytes
+
     /** The number of received bytes that are not consumed yet. */
     val bufferedBytes: Int get() = end - start
 
--- a/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/net/TcpConnection.kt
@@ -65,6 +65,11 @@
     var sentBytes: Long = 0
         private set
 
+    /** The number of bytes that have been received. */
+    @Volatile
+    var receivedBytes: Long = 0
+        private set
+
     /** The earliest time at which the bytes that were last received can have arrived. */
     @Volatile
     var receivedSince: Moment = openedAt
@@ -236,6 +241,7 @@
         }
         if (buffer.position() > 0) {
             received = buffer
+            receivedBytes += buffer.position()
             receivedSince = maxOf(lastEmptyAt, notBefore)
         } else {
             loop.buffers.release(buffer)
--- a/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
@@ -5,6 +5,7 @@
 import org.celeryusher.node.http.ExchangeResult
 import org.celeryusher.node.http.HttpConnectionPool
 import org.celeryusher.node.http.HttpRequest
+import org.celeryusher.node.http.ReceiveProgress
 import org.celeryusher.node.http.value
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -19,8 +20,9 @@
         timeout: Duration,
     ): PlatformCallResult {
         val request = HttpRequest("GET", target, emptyList(), ByteArray(0), address.toString())
-        return when (val result = withTimeoutOrNull(timeout) { connections.exchange(request) }) {
-            null -> PlatformCallResult.Failed("no answer within $timeout")
+        val progress = ReceiveProgress()
+        return when (val result = withTimeoutOrNull(timeout) { connections.exchange(request, progress) }) {
+            null -> PlatformCallResult.Failed("no whole answer within $timeout, ${progress.bytes} bytes received")
             is ExchangeResult.Answered -> {
                 val retryAfter =
                     result.response.headers
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -14,22 +14,24 @@
 import org.celeryusher.kernel.distribution.SourceScheduleSettings
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.Frame
 import org.celeryusher.node.call.SourceRelay
+import org.celeryusher.node.call.SourceReply
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Sends a [Frame.SourceQuery] to the node at an address; returns null when no answer arrives within the timeout. */
+/** Sends a [Frame.SourceQuery] to the node at an address; returns its answer, or why there is none within the timeout. */
 internal fun interface SourcePeers {
     suspend fun query(
         address: Address,
         query: Frame.SourceQuery,
         timeout: Duration,
-    ): Frame.SourceUpdate?
+    ): SourceReply
 }
 
 /** Keeps the list of servers and the configuration of this node up to date, from the platform or from a peer as [SourceSchedule] decides. */
@@ -152,7 +154,8 @@
                     evacuationsChangedAt = evacuations.changedAt,
                 )
             val answers = others.map { async { it.instance to peers.query(it.frameAddress, query, settings.queryMargin) } }.awaitAll()
-            for ((peer, update) in answers) {
+            for ((peer, reply) in answers) {
+                val update = (reply as? SourceReply.Answered)?.update
                 if (update?.ageMilliseconds != null && eras.acceptsRelayed(update.era, "the node beside $peer", clock.now())) {
                     applyList(update, peer)
                 }
@@ -189,15 +192,39 @@
                 own.takeIf { synchronized(schedule) { schedule.offersData(sentAt) } },
                 choice.acceptsOldData,
             )
-        val update = peers.query(peer.frameAddress, query, choice.timeout)
-        if (update == null) {
-            synchronized(schedule) { schedule.peerFailed(peer.instance, clock.now()) }
-            return
+        when (val reply = peers.query(peer.frameAddress, query, choice.timeout)) {
+            is SourceReply.Answered -> takeOver(reply.update, peer, sentAt)
+            is SourceReply.Unanswered -> peerFailed(peer, reply, sentAt)
         }
+    }
+
+    private fun peerFailed(
+        peer: Member,
+        reply: SourceReply.Unanswered,
+        sentAt: Moment,
+    ) {
+        val now = clock.now()
+        synchronized(schedule) { schedule.peerFailed(peer.instance, now) }
+        logLeft(peer, reply.reason, "receivedBytes" to reply.receivedBytes, "after" to now - sentAt)
+    }
+
+    /** Logs why this node asks another one than [peer] next, which decides how late it has a change. */
+    private fun logLeft(
+        peer: Member,
+        reason: String,
+        vararg inputs: Pair<String, Any?>,
+    ): Unit = decisions.record("source", "leaves the node beside ${peer.instance}", reason, *inputs, "version" to configuration.version)
+
+    private fun takeOver(
+        update: Frame.SourceUpdate,
+        peer: Member,
+        sentAt: Moment,
+    ) {
         // The age counts from the earliest time at which the peer can have answered, so that a delayed answer does not seem recent.
         val age = update.ageMilliseconds?.takeIf { eras.acceptsRelayed(update.era, "the node beside ${peer.instance}", clock.now()) }
         val confirmedAt = age?.let { sentAt + (update.heldMilliseconds - it).milliseconds }
         val isRecent = synchronized(schedule) { schedule.peerAnswered(peer.instance, confirmedAt, clock.now(), update.isServed) }
+        if (!isRecent) logLeft(peer, "its data is old", "age" to confirmedAt?.let { clock.now() - it }, "isServed" to update.isServed)
         if (isRecent && confirmedAt != null) servers.peerAnswered(update.position, confirmedAt)
         if (age != null || update.ageMilliseconds == null) applyList(update, peer.instance)
         // The version of a configuration decides, whatever the era in which it was read.
