--- /dev/null
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
@@ -0,0 +1,229 @@
+package org.celeryusher.kernel.distribution
+
+import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.membership.MembershipView
+import org.celeryusher.kernel.time.Moment
+import java.util.PriorityQueue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A link that sends one message after the other, in both directions alike. */
+internal class ReplayedLink(
+    megabitsPerSecond: Double,
+) {
+    private val bytesPerSecond = megabitsPerSecond * BYTES_PER_MEGABIT * USED_SHARE
+    private var freeAt = Moment.DISTANT_PAST
+
+    /** Returns when a message of [bytes] has left that is ready at [now]. */
+    fun send(
+        bytes: Int,
+        now: Moment,
+    ): Moment {
+        freeAt = maxOf(freeAt, now) + (bytes / bytesPerSecond).seconds
+        return freeAt
+    }
+
+    private companion object {
+        const val BYTES_PER_MEGABIT = 125_000.0
+        const val USED_SHARE = 0.9
+    }
+}
+
+/** One node of a [ConvergenceReplay]. */
+internal class ConvergenceNode(
+    val member: Member,
+    megabitsPerSecond: Double,
+) {
+    val schedule = SourceSchedule()
+    val outgoing = ReplayedLink(megabitsPerSecond)
+    val incoming = ReplayedLink(megabitsPerSecond)
+    var version = 1
+    var confirmedAt = Moment(0)
+
+    /** The queries of other nodes that are held until there is a newer version. */
+    val held = ArrayList<() -> Unit>()
+    var isKilled = false
+}
+
+/**
+ * Plays in virtual time how versions of a configuration spread over a fleet whose links are slow, on the decisions of [SourceSchedule].
+ *
+ * The first version is in force everywhere at the start. A read of the platform takes the time that the document needs on the link.
+ */
+internal class ConvergenceReplay(
+    size: Int,
+    megabitsPerSecond: Double,
+    private val documentBytes: Int,
+    private val compressedBytes: Int,
+) {
+    private class Event(
+        val at: Moment,
+        val number: Long,
+        val action: () -> Unit,
+    )
+
+    private val nodes = members(size).map { ConvergenceNode(it, megabitsPerSecond) }
+    private val byMember = nodes.associateBy { it.member }
+    private val view = MembershipView(nodes.map { it.member })
+    private val events = PriorityQueue(compareBy(Event::at, Event::number))
+    private var eventCount = 0L
+    private var published = 1
+    private var now = Moment(0)
+
+    /** When each version was published, by number. */
+    private val publishedAt = HashMap<Int, Moment>()
+
+    /** The longest time after which a node had a version in force, or a newer one, counted from its publication. */
+    var longestDelay = Duration.ZERO
+        private set
+
+    /** The reads of the platform that have carried a document. */
+    var documentReads = 0
+        private set
+
+    /** Publishes [versions] versions, one each [interval], and plays until [rest] after the last one. */
+    fun play(
+        versions: Int,
+        interval: Duration,
+        rest: Duration,
+    ) {
+        nodes.forEachIndexed { index, node -> schedule(Moment(0) + (index % START_STEPS).milliseconds) { choose(node) } }
+        repeat(versions) { index -> schedule(Moment(0) + WARM_UP + interval * index) { publish() } }
+        val end = Moment(0) + WARM_UP + interval * versions + rest
+        while (events.isNotEmpty() && events.first().at <= end) {
+            val event = events.remove()
+            now = event.at
+            event.action()
+        }
+        for (node in nodes) recordDelay(node, published)
+    }
+
+    private fun publish() {
+        published++
+        publishedAt[published] = now
+    }
+
+    private fun schedule(
+        at: Moment,
+        action: () -> Unit,
+    ) {
+        events += Event(at, eventCount++, action)
+    }
+
+    private fun choose(node: ConvergenceNode) {
+        when (val choice = node.schedule.choose(view, node.member.instance, now)) {
+            is SourceChoice.Platform -> readPlatform(node)
+            is SourceChoice.Peer -> ask(node, byMember.getValue(choice.member), choice)
+            is SourceChoice.WaitUntil -> schedule(maxOf(choice.moment, now + 1.milliseconds)) { choose(node) }
+        }
+    }
+
+    private fun readPlatform(node: ConvergenceNode) {
+        val startedAt = now
+        val version = published
+        val hasDocument = version > node.version
+        if (hasDocument) documentReads++
+        val answeredAt = node.incoming.send(if (hasDocument) documentBytes else SMALL_BYTES, now + PLATFORM_TIME)
+        schedule(answeredAt) {
+            putInForce(node, version)
+            node.confirmedAt = maxOf(node.confirmedAt, startedAt)
+            node.schedule.platformAnswered(now)
+            schedule(maxOf(now, startedAt + SETTINGS.readInterval)) { choose(node) }
+        }
+    }
+
+    private fun ask(
+        node: ConvergenceNode,
+        peer: ConvergenceNode,
+        choice: SourceChoice.Peer,
+    ) {
+        var isOpen = true
+        val sentAt = now
+        schedule(sentAt + choice.timeout) {
+            if (isOpen) {
+                isOpen = false
+                node.schedule.peerFailed(peer.member.instance, now)
+                choose(node)
+            }
+        }
+        schedule(now + LATENCY) {
+            peer.schedule.queried(now)
+            holdQuery(node, peer, now + minOf(choice.wait, RECENT - (now - peer.confirmedAt))) { isOpen.also { isOpen = false } }
+        }
+    }
+
+    /** Answers a query of [node] once [peer] has a newer version, or at [end]. [take] returns whether [node] still waits. */
+    private fun holdQuery(
+        node: ConvergenceNode,
+        peer: ConvergenceNode,
+        end: Moment,
+        take: () -> Boolean,
+    ) {
+        var isAnswered = false
+        val answer = {
+            if (!isAnswered) {
+                isAnswered = true
+                answer(node, peer, take)
+            }
+        }
+        if (peer.version > node.version || end <= now) return answer()
+        peer.held += answer
+        schedule(end) { answer() }
+    }
+
+    private fun answer(
+        node: ConvergenceNode,
+        peer: ConvergenceNode,
+        take: () -> Boolean,
+    ) {
+        val version = peer.version
+        val confirmedAt = peer.confirmedAt
+        val bytes = SMALL_BYTES + if (version > node.version) compressedBytes else 0
+        schedule(peer.outgoing.send(bytes, now)) {
+            schedule(node.incoming.send(bytes, now) + LATENCY) {
+                if (take()) {
+                    putInForce(node, version)
+                    if (node.schedule.peerAnswered(peer.member.instance, confirmedAt, now, peer.schedule.isServed(now))) {
+                        node.confirmedAt = maxOf(node.confirmedAt, confirmedAt)
+                    }
+                    choose(node)
+                }
+            }
+        }
+    }
+
+    private fun putInForce(
+        node: ConvergenceNode,
+        version: Int,
+    ) {
+        if (version <= node.version) return
+        recordDelay(node, version)
+        node.version = version
+        val waiting = node.held.toList()
+        node.held.clear()
+        waiting.forEach { it() }
+    }
+
+    /** Records how long [node] was behind each version up to [version] that it did not have. */
+    private fun recordDelay(
+        node: ConvergenceNode,
+        version: Int,
+    ) {
+        for (missed in node.version + 1..version) longestDelay = maxOf(longestDelay, now - publishedAt.getValue(missed))
+    }
+
+    private companion object {
+        val SETTINGS = SourceScheduleSettings()
+        val WARM_UP = 5.seconds
+        const val START_STEPS = 400
+        val PLATFORM_TIME = 5.milliseconds
+        val LATENCY = 1.milliseconds
+
+        /** The age up to which a peer holds a query, as nodes do. */
+        val RECENT = 1.seconds
+
+        /** An answer without a configuration. */
+        const val SMALL_BYTES = 150
+    }
+}
