Await an answer as long as it arrives

Callers got 404 for routes acknowledged more than 2.5 s before. A read of the store was given up after 0.8 or 1 s, and a query of another node after 0.25 or 0.85 s, whether or not the answer was on its way; the next one started from zero.

A wait now ends when nothing has arrived for 0.25 s after its timeout, at the latest after 5 s. Between nodes only bytes of large frames count, so a connection that carries other traffic is left as before.

--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.celeryusher.kernel.admission.LinkSchedule
 import org.celeryusher.node.net.CallerConnection
 import org.celeryusher.node.net.MessageMemory
 import org.celeryusher.node.runtime.OutOfMemoryExit
@@ -73,6 +74,11 @@
     private var takenBytes = 0
     private val ready = ArrayDeque<Frame>()
 
+    /** The bytes of large frames that have arrived, as parts or whole. */
+    @Volatile
+    var largeBytes = 0L
+        private set
+
     /**
      * Consumes [received] and decodes the frames that it completes.
      *
@@ -85,6 +91,7 @@
             target.put(target.position(), received, received.position(), count)
             target.position(target.position() + count)
             received.position(received.position() + count)
+            if (target !== length && bodyBytes > LinkSchedule.PART_BYTES) largeBytes += count
             if (!target.hasRemaining()) complete(target)
             if (body?.hasRemaining() == false) enlarge()
         }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
@@ -21,7 +21,7 @@
  */
 internal class FrameConnection(
     private val connection: TcpConnection,
-    private val maximumFrameBytes: Int,
+    maximumFrameBytes: Int,
     private val memory: MessageMemory,
     private val onFrame: (FrameConnection, Frame) -> Unit,
     private val onClosed: (FrameConnection, Throwable?) -> Unit,
@@ -30,6 +30,7 @@
     /** Called whenever bytes have arrived. */
     private val onBytes: () -> Unit = {},
 ) {
+    private val reader = FrameReader(maximumFrameBytes, memory, caller)
     private val outgoing = Channel<QueuedFrame>(OUTGOING_QUEUE_FRAMES)
     private val unsent = AtomicInteger()
     private var jobs: List<Job> = emptyList()
@@ -43,6 +44,9 @@
     /** The number of bytes that have arrived. */
     val receivedBytes: Long get() = connection.receivedBytes
 
+    /** How many of them belong to large frames, which arrive in parts. */
+    val receivedLargeBytes: Long get() = reader.largeBytes
+
     /** Whether the connection still accepts frames. */
     @Volatile
     var isOpen: Boolean = true
@@ -192,7 +196,6 @@
 
     private suspend fun readFrames() {
         var cause: Throwable? = null
-        val reader = FrameReader(maximumFrameBytes, memory, caller)
         try {
             while (connection.read(reader::add)) {
                 onBytes()
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardChannel.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.call
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.sync.Mutex
@@ -8,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.distribution.TransferPatience
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptReference
 import org.celeryusher.kernel.identity.Address
@@ -17,6 +19,7 @@
 import org.celeryusher.node.http.ResponseHead
 import org.celeryusher.node.net.MessageMemory
 import org.celeryusher.node.net.TcpNetwork
+import org.celeryusher.node.net.await
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
@@ -75,16 +78,21 @@
         }
     }
 
-    /** Sends [query] and returns its answer, or why there is none within [timeout]. */
+    /** Sends [query] and returns its answer, or why there is none. It waits beyond [timeout] as long as a large answer arrives. */
     suspend fun query(
         query: Frame.SourceQuery,
         timeout: Duration,
     ): SourceReply {
         val open = openConnection() ?: return SourceReply.Unanswered("no connection")
         val before = open.receivedBytes
-        val answer = exchange(open, timeout.inWholeMilliseconds, ExchangeKind.QUERY, query::withExchange)
+        val largeBefore = open.receivedLargeBytes
+        val patience = TransferPatience(timeout, clock.now())
+        val answer =
+            exchange(open, ExchangeKind.QUERY, query::withExchange) { answer ->
+                patience.await(clock, { open.receivedLargeBytes - largeBefore }, answer::await)
+            }
         if (answer !is Frame.SourceUpdate) {
-            val reason = if (answer == null) "no answer within $timeout" else "the connection was lost"
+            val reason = if (answer == null) "no whole answer within $timeout" else "the connection was lost"
             return SourceReply.Unanswered(reason, open.receivedBytes - before)
         }
         open.updateClock(answer.uptime)
@@ -154,10 +162,17 @@
         timeoutMilliseconds: Long,
         kind: ExchangeKind,
         frame: (Long) -> Frame,
+    ): Frame? = exchange(open, kind, frame) { answer -> withTimeoutOrNull(timeoutMilliseconds) { answer.await() } }
+
+    private suspend fun exchange(
+        open: GuardConnection,
+        kind: ExchangeKind,
+        frame: (Long) -> Frame,
+        receive: suspend (CompletableDeferred<Frame>) -> Frame?,
     ): Frame? {
         val exchange = exchanges.incrementAndGet()
         try {
-            return open.exchange(exchange, kind, frame(exchange)) { answer -> withTimeoutOrNull(timeoutMilliseconds) { answer.await() } }
+            return open.exchange(exchange, kind, frame(exchange), receive)
         } finally {
             closeIfRetired()
         }
--- a/node/src/main/kotlin/org/celeryusher/node/call/GuardConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/GuardConnection.kt
@@ -68,6 +68,7 @@
     val isOpen: Boolean get() = frames.isOpen
     val isIdle: Boolean get() = pending.isEmpty()
     val receivedBytes: Long get() = frames.receivedBytes
+    val receivedLargeBytes: Long get() = frames.receivedLargeBytes
     val processStart: Long get() = hello.processStart
     val answersCrashQueries: Boolean get() = hello.answersCrashQueries
     val grantsRetries: Boolean get() = hello.grantsRetries
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -218,7 +218,7 @@
         val limits = ConnectionLimits(maximumBodyBytes = settings.limits.maximumMessageBytes)
         val connections = HttpConnectionPool(settings.platform, resources.network, clock, limits)
         val defaults = DocumentDefaults(settings.boundedDefaults, settings.guaranteedShare)
-        val reader = adapter.reader(HttpPlatformTransport(connections, settings.platform), defaults)
+        val reader = adapter.reader(HttpPlatformTransport(connections, settings.platform, clock), defaults)
         return PlatformFleetControl(settings, incarnation, routing, reader, relay, dataPlane::query, clock, random, decisions)
     }
 
