Keep following a reader while a document arrives at it

Callers got 404 for routes acknowledged more than 2.5 s before. The data of a reader counts from the sending of its read. A document of 270 KB takes 0.31 s on a link of 7 Mbit/s, and longer beside calls, so after each version the data was older than 1.2 s, and followers left the reader for candidates that knew less.

A reader now also states when it last heard of the platform, which includes bytes of an answer that still arrives, for at most one second. Followers choose by that whom they ask. What they take for confirmed has not changed.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceSchedule.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceSchedule.kt
@@ -104,20 +104,21 @@
 
     /**
      * Records the answer of [peer], whose data was confirmed by the platform at [confirmedAt], or null if it has none, and which states
-     * whether the platform answers it ([isServed]).
+     * whether the platform answers it ([isServed]). It was in contact with the platform at [contactAt], which may be later ([SourceContact]).
      *
-     * Returns whether the data is recent enough to be used.
+     * Returns whether the peer is recent enough to be followed.
      */
     public fun peerAnswered(
         peer: InstanceName,
         confirmedAt: Moment?,
         now: Moment,
         isServed: Boolean,
+        contactAt: Moment? = confirmedAt,
     ): Boolean {
         silentInSuccession = 0
         nextQueryAt = lastSentAt + settings.queryInterval
-        newestData = maxOf(newestData, confirmedAt ?: newestData)
-        if (confirmedAt == null || now - confirmedAt > settings.maximumDataAge) {
+        newestData = maxOf(newestData, contactAt ?: newestData)
+        if (confirmedAt == null || contactAt == null || now - contactAt > settings.maximumDataAge) {
             offers.failed(peer)
             exclude(peer, Exclusion(now + oldDataPause(), confirmedAt, isServed), now)
             return false
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/SourceScheduleTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/SourceScheduleTest.kt
@@ -115,6 +115,8 @@
         assertEquals(SourceChoice.Platform, schedule.choose(view, follower, START + 4.seconds), "a node that was paused")
         assertEquals(false, schedule.peerAnswered(InstanceName("x"), START, START + 2.seconds, isServed = true), "data that is too old")
         assertEquals(false, schedule.peerAnswered(InstanceName("x"), null, START + 2.seconds, isServed = true), "a peer without data")
+        val isFollowed = schedule.peerAnswered(InstanceName("x"), START, START + 2.seconds, isServed = true, START + 1.9.seconds)
+        assertEquals(true, isFollowed, "a peer that a document has just reached")
     }
 
     /** Guards against a node that asks without pause because its peer has news for it that it refuses. */
--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -192,6 +192,8 @@
         @SerialName("o") public val isServed: Boolean = true,
         /** The era of [revision]; 0 from a node of an earlier version. */
         @SerialName("g") public val era: Long = 0,
+        /** How long ago the node heard of the platform, whose answer may still be arriving; null from an earlier version. */
+        @SerialName("b") public val contactMilliseconds: Long? = null,
     ) : Frame {
         /** The position of the list up to which [servers] is complete. */
         public val position: StorePosition get() = StorePosition(era, revision)
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.distribution.SourceContact
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.StorePosition
@@ -16,6 +17,7 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicReference
 import java.util.zip.GZIPOutputStream
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -54,6 +56,10 @@
     /** The latest time at which all that this node passes on is known to have been current. */
     private val confirmedAt: Moment get() = minOf(listConfirmedAt, configurationConfirmedAt)
 
+    /** Returns when the platform was last heard of the configuration, also if its answer is still arriving. */
+    @Volatile
+    var configurationHeardAt: () -> Moment = { Moment.DISTANT_PAST }
+
     /** When another node last asked this one, or [Moment.DISTANT_PAST] before any did. */
     @Volatile
     var lastQueryAt: Moment = Moment.DISTANT_PAST
@@ -136,12 +142,20 @@
         query.offeredBy?.let(offer::set)
         val cursor = query.cursor.takeIf { query.processStart == processStart }
         // A node whose list grows old answers early, so that the sender can ask another one.
-        val limit = if (query.acceptsOldData) MAXIMUM_WAIT else RECENT - (receivedAt - confirmedAt)
+        val limit = if (query.acceptsOldData) MAXIMUM_WAIT else RECENT - ageOfContact(receivedAt)
         val wait = minOf(query.waitMilliseconds.coerceAtLeast(0).milliseconds, limit)
         if (wait.isPositive()) withTimeoutOrNull(wait) { changes.first { hasNews(cursor, query) } }
         return update(query, cursor, processStart, receivedAt, uptime())
     }
 
+    /** Returns how long ago the platform was heard, of what this node passes on. */
+    private fun ageOfContact(now: Moment): Duration =
+        SourceContact.age(
+            now - listConfirmedAt,
+            now - configurationConfirmedAt,
+            now - maxOf(configurationHeardAt(), configurationConfirmedAt),
+        )
+
     @Synchronized
     private fun hasNews(
         cursor: Long?,
@@ -168,6 +182,7 @@
             exchange = query.exchange,
             processStart = processStart,
             heldMilliseconds = (now - receivedAt).inWholeMilliseconds,
+            contactMilliseconds = if (isKnown) ageOfContact(now).inWholeMilliseconds else null,
             ageMilliseconds = if (isKnown) (now - confirmedAt).inWholeMilliseconds else null,
             revision = position.revision,
             servers = if (isKnown) journal.changesSince(cursor).takeUnless(::isEmpty) else null,
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.source
 
+import kotlinx.coroutines.withContext
 import org.celeryusher.kernel.configuration.ConfigurationParser
 import org.celeryusher.kernel.distribution.ConfigurationSource
 import org.celeryusher.kernel.distribution.FloorSettings
@@ -16,6 +17,7 @@
 import org.celeryusher.node.control.ConfigurationStatus
 import org.celeryusher.node.control.ConflictStatus
 import org.celeryusher.node.control.RefusedStatus
+import org.celeryusher.node.http.ReceiveProgress
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
@@ -39,6 +41,14 @@
 ) {
     private val holder = VersionHolder(VersionFloor(clock.now(), settings.dataCentre, FloorSettings(waitLimit = Duration.ZERO)))
     private val schedule = WatchSchedule()
+
+    /** The progress of the read that is under way. */
+    private val progress = ReceiveProgress()
+
+    init {
+        relay.configurationHeardAt = ::heardAt
+    }
+
     private var isSourceLost = false
     private var position = StorePosition.START
 
@@ -71,6 +81,9 @@
             relay.configurationConfirmed(value)
         }
 
+    /** Returns when the platform was last heard of the configuration: the end of a read, or bytes of one that is still under way. */
+    fun heardAt(): Moment = maxOf(confirmedAt, progress.receivedSince ?: Moment.DISTANT_PAST)
+
     /** Returns the age of what this node knows, or null before the first answer. */
     fun age(now: Moment): Duration? = if (confirmedAt == Moment.DISTANT_PAST) null else now - confirmedAt
 
@@ -150,7 +163,13 @@
             if (mustReadCompletely) schedule.readCompletely()
             mustReadCompletely = false
             val read = schedule.next(position)
-            val pause = handle(read, reader.readOperatorData(read), sentAt)
+            val reading =
+                try {
+                    withContext(progress) { reader.readOperatorData(read) }
+                } finally {
+                    progress.end()
+                }
+            val pause = handle(read, reading, sentAt)
             if (pause != Duration.ZERO) return pause
         }
     }
--- a/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/HttpPlatformTransport.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import org.celeryusher.kernel.distribution.TransferPatience
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.node.http.ExchangeResult
@@ -29,7 +30,7 @@
         timeout: Duration,
     ): PlatformCallResult {
         val request = HttpRequest("GET", target, emptyList(), ByteArray(0), address.toString())
-        val progress = ReceiveProgress()
+        val progress = currentCoroutineContext()[ReceiveProgress] ?: ReceiveProgress()
         return when (val result = exchange(request, progress, TransferPatience(timeout, clock.now()))) {
             null -> PlatformCallResult.Failed("no whole answer within $timeout, ${progress.bytes} bytes received")
             is ExchangeResult.Answered -> {
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -222,9 +222,20 @@
     ) {
         // The age counts from the earliest time at which the peer can have answered, so that a delayed answer does not seem recent.
         val age = update.ageMilliseconds?.takeIf { eras.acceptsRelayed(update.era, "the node beside ${peer.instance}", clock.now()) }
-        val confirmedAt = age?.let { sentAt + (update.heldMilliseconds - it).milliseconds }
-        val isRecent = synchronized(schedule) { schedule.peerAnswered(peer.instance, confirmedAt, clock.now(), update.isServed) }
-        if (!isRecent) logLeft(peer, "its data is old", "age" to confirmedAt?.let { clock.now() - it }, "isServed" to update.isServed)
+        val answeredAt = sentAt + update.heldMilliseconds.milliseconds
+        val confirmedAt = age?.let { answeredAt - it.milliseconds }
+        val contactAt = confirmedAt?.let { maxOf(it, answeredAt - (update.contactMilliseconds ?: age).milliseconds) }
+        val isRecent =
+            synchronized(schedule) { schedule.peerAnswered(peer.instance, confirmedAt, clock.now(), update.isServed, contactAt) }
+        if (!isRecent) {
+            logLeft(
+                peer,
+                "its data is old",
+                "age" to confirmedAt?.let { clock.now() - it },
+                "contact" to contactAt?.let { clock.now() - it },
+                "isServed" to update.isServed,
+            )
+        }
         if (isRecent && confirmedAt != null) servers.peerAnswered(update.position, confirmedAt)
         if (age != null || update.ageMilliseconds == null) applyList(update, peer.instance)
         // The version of a configuration decides, whatever the era in which it was read.
