Send changes of the configuration between nodes in place of documents

Callers got 404 for routes acknowledged more than 2.5 s before. A change of one route travelled as the whole document, 22 KB compressed, from two readers to 76 followers: 1.1 s of a link of 7 Mbit/s for a version each 0.83 s.

The hash of each result must agree before it is in force. A node that has fallen out of the history, or got a faulty change, asks for the document over the connection for large answers, one at a time, while its queries go on; after two failures in succession it reads the platform. Nodes of an earlier version ask without the new field and get documents.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/ConfigurationParser.kt
@@ -43,10 +43,13 @@
         val faults = FaultCollector()
         DocumentValidator(PartialDocument.of(document), faults).validate()
         faults.toFaultsOrNull()?.let { return it.left() }
-        val digest = ConfigurationDigest(document.version, LongHashFunction.xx3().hashBytes(published))
+        val digest = ConfigurationDigest(document.version, contentHashOf(published))
         return ConfigurationSnapshot(document, digest, lazy { canonicalTextOf(document) }).right()
     }
 
+    /** Returns the content hash of a configuration that was published as [bytes] in another format. */
+    public fun contentHashOf(bytes: ByteArray): Long = LongHashFunction.xx3().hashBytes(bytes)
+
     private fun canonicalTextOf(document: ConfigurationDocument): String {
         val serializer = ConfigurationDocument.serializer()
         val tree = Json.encodeToJsonElement(serializer, document)
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceScheduleSettings.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceScheduleSettings.kt
@@ -39,6 +39,8 @@
     public val shortestHold: Duration = 300.milliseconds,
     /** How much longer than its wait a query may take before the peer is considered failed. */
     public val queryMargin: Duration = 250.milliseconds,
+    /** How long a peer may take to begin sending a whole document, which waits for its turn on a slow link. */
+    public val documentTimeout: Duration = 1.seconds,
     /** The shortest time between two attempts while neither the platform nor a peer answers. */
     public val shortestWait: Duration = 50.milliseconds,
     /** The number of peers in succession that do not answer before a node takes itself for cut off from them, and reads the platform. */
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.kernel.distribution
 
+import org.celeryusher.kernel.configuration.ConfigurationDigest
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.membership.MembershipView
 import org.celeryusher.kernel.time.Moment
@@ -36,14 +37,20 @@
     megabitsPerSecond: Double,
 ) {
     val schedule = SourceSchedule()
+    val history = ChangeHistory()
+    val transfers = DocumentTransfers()
     val outgoing = ReplayedLink(megabitsPerSecond)
     val incoming = ReplayedLink(megabitsPerSecond)
-    var version = 1
+    var version = 1L
+    val digest: ConfigurationDigest get() = digestOf(version)
     var confirmedAt = Moment(0)
 
     /** The queries of other nodes that are held until there is a newer version. */
     val held = ArrayList<() -> Unit>()
-    var isKilled = false
+
+    companion object {
+        fun digestOf(version: Long): ConfigurationDigest = ConfigurationDigest(version, version)
+    }
 }
 
 /**
@@ -56,6 +63,7 @@
     megabitsPerSecond: Double,
     private val documentBytes: Int,
     private val compressedBytes: Int,
+    private val changeBytes: Int,
 ) {
     private class Event(
         val at: Moment,
@@ -68,11 +76,11 @@
     private val view = MembershipView(nodes.map { it.member })
     private val events = PriorityQueue(compareBy(Event::at, Event::number))
     private var eventCount = 0L
-    private var published = 1
+    private var published = 1L
     private var now = Moment(0)
 
     /** When each version was published, by number. */
-    private val publishedAt = HashMap<Int, Moment>()
+    private val publishedAt = HashMap<Long, Moment>()
 
     /** The longest time after which a node had a version in force, or a newer one, counted from its publication. */
     var longestDelay = Duration.ZERO
@@ -82,6 +90,10 @@
     var documentReads = 0
         private set
 
+    /** The whole documents that nodes have got from each other. */
+    var documentTransfers = 0
+        private set
+
     /** Publishes [versions] versions, one each [interval], and plays until [rest] after the last one. */
     fun play(
         versions: Int,
@@ -167,7 +179,8 @@
                 answer(node, peer, take)
             }
         }
-        if (peer.version > node.version || end <= now) return answer()
+        val known = maxOf(node.version, node.transfers.awaited?.version ?: 0)
+        if (peer.version > known || end <= now) return answer()
         peer.held += answer
         schedule(end) { answer() }
     }
@@ -177,28 +190,62 @@
         peer: ConvergenceNode,
         take: () -> Boolean,
     ) {
-        val version = peer.version
+        val newest = peer.digest
         val confirmedAt = peer.confirmedAt
-        val bytes = SMALL_BYTES + if (version > node.version) compressedBytes else 0
-        schedule(peer.outgoing.send(bytes, now)) {
-            schedule(node.incoming.send(bytes, now) + LATENCY) {
-                if (take()) {
-                    putInForce(node, version)
-                    if (node.schedule.peerAnswered(peer.member.instance, confirmedAt, now, peer.schedule.isServed(now))) {
-                        node.confirmedAt = maxOf(node.confirmedAt, confirmedAt)
-                    }
-                    choose(node)
+        val answer = peer.history.answerTo(node.digest, newest) { compressedBytes }
+        val changes = (answer as? ConfigurationAnswer.Changes)?.changes.orEmpty()
+        transfer(peer, node, SMALL_BYTES + changes.sumOf { it.delta.size }) {
+            if (take()) {
+                val isNewest = takeOver(node, peer, newest, changes)
+                if (node.schedule.peerAnswered(peer.member.instance, confirmedAt, now, peer.schedule.isServed(now)) && isNewest) {
+                    node.confirmedAt = maxOf(node.confirmedAt, confirmedAt)
                 }
+                choose(node)
             }
         }
     }
 
+    /** Returns whether [node] has a configuration as new as [newest] then. */
+    private fun takeOver(
+        node: ConvergenceNode,
+        peer: ConvergenceNode,
+        newest: ConfigurationDigest,
+        changes: List<ConfigurationChange>,
+    ): Boolean {
+        if (changes.firstOrNull()?.base == node.digest) putInForce(node, newest.version, changes)
+        if (node.transfers.begin(newest, node.version)) {
+            documentTransfers++
+            transfer(peer, node, compressedBytes) {
+                putInForce(node, newest.version)
+                node.transfers.ended(isComplete = true)
+            }
+        }
+        return newest.version <= node.version
+    }
+
+    /** Sends [bytes] over the links of both nodes and calls [then] when they have arrived. */
+    private fun transfer(
+        from: ConvergenceNode,
+        to: ConvergenceNode,
+        bytes: Int,
+        then: () -> Unit,
+    ) {
+        schedule(from.outgoing.send(bytes, now)) { schedule(to.incoming.send(bytes, now) + LATENCY, then) }
+    }
+
+    private fun changeTo(
+        node: ConvergenceNode,
+        version: Long,
+    ) = ConfigurationChange(node.digest, ConvergenceNode.digestOf(version), ByteArray(changeBytes))
+
     private fun putInForce(
         node: ConvergenceNode,
-        version: Int,
+        version: Long,
+        changes: List<ConfigurationChange> = listOf(changeTo(node, version)),
     ) {
         if (version <= node.version) return
         recordDelay(node, version)
+        changes.forEach(node.history::add)
         node.version = version
         val waiting = node.held.toList()
         node.held.clear()
@@ -208,7 +255,7 @@
     /** Records how long [node] was behind each version up to [version] that it did not have. */
     private fun recordDelay(
         node: ConvergenceNode,
-        version: Int,
+        version: Long,
     ) {
         for (missed in node.version + 1..version) longestDelay = maxOf(longestDelay, now - publishedAt.getValue(missed))
     }
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
@@ -1,6 +1,5 @@
 package org.celeryusher.kernel.distribution
 
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -16,7 +15,6 @@
 
     /** Guards against nodes that answer by an older version because each change occupies the links of the readers. */
     @Test
-    @Tag("known-red")
     fun changesOfOneRouteAreInForceInTimeOverSlowLinks() {
         val cases =
             listOf(
@@ -24,7 +22,8 @@
                 Case(nodes = 79, versions = 36, interval = 830.milliseconds),
             )
         for (case in cases) {
-            val replay = ConvergenceReplay(case.nodes, megabitsPerSecond = 7.0, documentBytes = 270_000, compressedBytes = 22_000)
+            val replay =
+                ConvergenceReplay(case.nodes, megabitsPerSecond = 7.0, documentBytes = 270_000, compressedBytes = 22_000, changeBytes = 200)
             replay.play(case.versions, case.interval, rest = TARGET)
             assertTrue(replay.longestDelay <= TARGET, "$case: a node was behind for ${replay.longestDelay}")
         }
--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -8,6 +8,8 @@
 import kotlinx.serialization.cbor.ByteString
 import org.celeryusher.kernel.admission.CallOrigin
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.configuration.ConfigurationDigest
+import org.celeryusher.kernel.distribution.ConfigurationChange
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.execution.AttemptKind
 import org.celeryusher.kernel.execution.AttemptReference
@@ -161,10 +163,25 @@
         @SerialName("o") public val offeredBy: InstanceName? = null,
         /** Whether the query is also held while the data is old. */
         @SerialName("l") public val acceptsOldData: Boolean = false,
+        /** The configuration in force at the sender, which takes changes of it; null from a node that has none, or takes documents only. */
+        @SerialName("k") public val held: ConfigurationDigest? = null,
+        /** Whether the sender asks for the whole configuration and for nothing else. */
+        @SerialName("d") public val wantsDocument: Boolean = false,
     ) : Frame {
         /** Returns this query with the number [exchange]. */
         public fun withExchange(exchange: Long): SourceQuery =
-            SourceQuery(exchange, processStart, cursor, version, waitMilliseconds, evacuationsChangedAt, offeredBy, acceptsOldData)
+            SourceQuery(
+                exchange,
+                processStart,
+                cursor,
+                version,
+                waitMilliseconds,
+                evacuationsChangedAt,
+                offeredBy,
+                acceptsOldData,
+                held,
+                wantsDocument,
+            )
     }
 
     /** The answer to [SourceQuery]: what a node has read from the platform. */
@@ -181,7 +198,11 @@
         /** The revision of the list up to which [servers] is complete. */
         @SerialName("r") public val revision: Long = 0,
         @SerialName("s") public val servers: ServerListChanges? = null,
-        /** The newest published configuration, compressed with gzip, if it is newer than the version of the query. */
+        /**
+         * The newest published configuration, compressed with gzip, if it is newer than the version of the query.
+         *
+         * A node that takes changes gets it only if it asks for it.
+         */
         @ByteString
         @SerialName("d")
         public val configuration: ByteArray? = null,
@@ -192,6 +213,10 @@
         @SerialName("o") public val isServed: Boolean = true,
         /** The era of [revision]; 0 from a node of an earlier version. */
         @SerialName("g") public val era: Long = 0,
+        /** The newest configuration, if it is newer than the one that the sender of the query holds and takes changes of. */
+        @SerialName("v") public val newest: ConfigurationDigest? = null,
+        /** The changes that lead from the one to the other, or null if the sender has to ask for the whole configuration. */
+        @SerialName("c") public val changes: List<ConfigurationChange>? = null,
         /** How long ago the node heard of the platform, whose answer may still be arriving; null from an earlier version. */
         @SerialName("b") public val contactMilliseconds: Long? = null,
     ) : Frame {
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameClient.kt
@@ -106,7 +106,7 @@
         address: Address,
         query: Frame.SourceQuery,
         timeout: Duration,
-    ): SourceReply = channelTo(address).query(query, timeout)
+    ): SourceReply = channelTo(address, query.wantsDocument && network.isLinkSlow).query(query, timeout)
 
     /** Sends [query] to the node at [address] and returns its answer, or null when none arrives within [timeout]. */
     suspend fun query(
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -3,6 +3,10 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.configuration.ConfigurationDigest
+import org.celeryusher.kernel.distribution.ChangeHistory
+import org.celeryusher.kernel.distribution.ConfigurationAnswer
+import org.celeryusher.kernel.distribution.ConfigurationChange
 import org.celeryusher.kernel.distribution.SourceContact
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.InstanceName
@@ -13,6 +17,7 @@
 import org.celeryusher.kernel.membership.ServerListChanges
 import org.celeryusher.kernel.membership.ServerListJournal
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.metrics.ConfigurationTransferCounts
 import org.celeryusher.node.runtime.ProcessClock
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicReference
@@ -29,9 +34,12 @@
 internal class SourceRelay(
     private val clock: ProcessClock,
 ) {
+    /** What this node has sent and received of configurations. */
+    val counts: ConfigurationTransferCounts = ConfigurationTransferCounts()
+
     /** A published configuration, whose compressed form is computed when it is first asked for. */
     private class Published(
-        val version: Long,
+        val digest: ConfigurationDigest,
         bytes: ByteArray,
     ) {
         val compressed: ByteArray by lazy {
@@ -43,6 +51,7 @@
     private val changes = MutableStateFlow(0L)
     private var position = StorePosition.START
     private var published: Published? = null
+    private val history = ChangeHistory()
     private var evacuations: EvacuationSet? = null
 
     /** The latest time at which the list is known to have been current, or [Moment.DISTANT_PAST] before there is one. */
@@ -113,13 +122,16 @@
         if (journal.update(servers, position)) changes.value++
     }
 
-    /** Records that the configuration [version], published as [bytes], is in force. */
+    /** Records that the configuration [digest], published as [bytes], is in force, and the [steps] that have led to it from the one before. */
     @Synchronized
     fun updateConfiguration(
-        version: Long,
+        digest: ConfigurationDigest,
         bytes: ByteArray,
+        steps: List<ConfigurationChange> = emptyList(),
     ) {
-        published = Published(version, bytes)
+        published = Published(digest, bytes)
+        if (steps.isEmpty()) history.clear()
+        steps.forEach(history::add)
         changes.value++
     }
 
@@ -178,6 +190,11 @@
         val now = clock.now()
         val confirmedAt = confirmedAt
         val isKnown = confirmedAt != Moment.DISTANT_PAST
+        val newest = newerThan(query.version)
+        val answer = newest?.let { answerOf(query, it) } ?: ConfigurationAnswer.UpToDate
+        if (answer is ConfigurationAnswer.Changes) counts.sentChanges(answer.changes.sumOf { it.delta.size })
+        val document = newest?.takeIf { query.wantsDocument || query.held == null }?.compressed
+        document?.let { counts.sentDocument(it.size) }
         return Frame.SourceUpdate(
             exchange = query.exchange,
             processStart = processStart,
@@ -185,18 +202,29 @@
             contactMilliseconds = if (isKnown) ageOfContact(now).inWholeMilliseconds else null,
             ageMilliseconds = if (isKnown) (now - confirmedAt).inWholeMilliseconds else null,
             revision = position.revision,
-            servers = if (isKnown) journal.changesSince(cursor).takeUnless(::isEmpty) else null,
-            configuration = newerThan(query.version)?.compressed,
+            servers = if (isKnown && !query.wantsDocument) journal.changesSince(cursor).takeUnless(::isEmpty) else null,
+            configuration = document,
             uptime = uptime,
             evacuations = evacuations,
             isServed = isServed(),
             era = position.era,
+            newest = newest?.digest?.takeIf { query.held != null },
+            changes = (answer as? ConfigurationAnswer.Changes)?.changes,
         )
     }
 
+    private fun answerOf(
+        query: Frame.SourceQuery,
+        newest: Published,
+    ): ConfigurationAnswer? =
+        query.held
+            ?.takeUnless {
+                query.wantsDocument
+            }?.let { history.answerTo(it, newest.digest) { newest.compressed.size } }
+
     private fun isEmpty(changes: ServerListChanges): Boolean = changes.changes.isEmpty() && !changes.isComplete
 
-    private fun newerThan(version: Long?): Published? = published?.takeIf { version == null || it.version > version }
+    private fun newerThan(version: Long?): Published? = published?.takeIf { version == null || it.digest.version > version }
 
     private companion object {
         /** The age up to which the data counts as recent: longer than the interval of reads. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -1,7 +1,11 @@
 package org.celeryusher.node.source
 
+import arrow.core.flatMap
 import kotlinx.coroutines.withContext
+import org.celeryusher.kernel.configuration.ConfigurationDigest
 import org.celeryusher.kernel.configuration.ConfigurationParser
+import org.celeryusher.kernel.distribution.ChangeApplication
+import org.celeryusher.kernel.distribution.ConfigurationChange
 import org.celeryusher.kernel.distribution.ConfigurationSource
 import org.celeryusher.kernel.distribution.FloorSettings
 import org.celeryusher.kernel.distribution.HolderEvent
@@ -10,6 +14,7 @@
 import org.celeryusher.kernel.distribution.VersionFloor
 import org.celeryusher.kernel.distribution.VersionHolder
 import org.celeryusher.kernel.distribution.WatchSchedule
+import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.identity.StorePosition
 import org.celeryusher.kernel.time.Moment
@@ -19,6 +24,7 @@
 import org.celeryusher.node.control.RefusedStatus
 import org.celeryusher.node.http.ReceiveProgress
 import org.celeryusher.node.log.DecisionLog
+import org.celeryusher.node.metrics.TransferForm
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
 import org.celeryusher.node.settings.NodeSettings
@@ -51,6 +57,10 @@
 
     private var isSourceLost = false
     private var position = StorePosition.START
+    private val application = ChangeApplication(VcdiffDelta, MAXIMUM_BYTES)
+
+    /** The configuration in force as it was published, from which changes start. */
+    private var published: ByteArray? = null
 
     @Volatile
     private var mustReadCompletely = false
@@ -118,33 +128,61 @@
             .filterIsInstance<HolderEvent.Conflict>()
             .map { ConflictStatus(it.offered.version, it.offered.contentHash, it.source.toString()) }
 
-    /** The version in force, or null before the first one. */
-    val version: Long? @Synchronized get() =
+    /** The configuration in force, or null before the first one. */
+    val digest: ConfigurationDigest? @Synchronized get() =
         holder.current
             ?.snapshot
             ?.digest
-            ?.version
+
+    /** The version in force, or null before the first one. */
+    val version: Long? get() = digest?.version
 
     /** Makes the next read a complete one, whose answer does not wait for a change. */
     fun readCompletelySoon() {
         mustReadCompletely = true
     }
 
-    /** Offers the configuration that [peer] has relayed in its [compressed] form. */
+    /** Offers the configuration that [peer] has relayed in its [compressed] form. Returns whether this version, or a later one, is in force. */
     fun offerRelayed(
         compressed: ByteArray,
         peer: InstanceName,
-    ) {
+    ): Boolean {
         // Without a configuration nothing is sent, so that a node that has just started waits for the evacuations.
-        if (!evacuations.isKnown) return
+        if (!evacuations.isKnown) return false
         val bytes =
             try {
                 GZIPInputStream(compressed.inputStream()).use { it.readNBytes(MAXIMUM_BYTES) }
             } catch (error: IOException) {
                 decisions.record("configuration", "refused", "${error.message}", "peer" to peer, "bytes" to compressed.size)
-                return
+                return false
             }
-        offer(reader.decodeConfiguration(bytes), ConfigurationSource.Peer(peer), clock.now())
+        return offer(reader.decodeConfiguration(bytes), ConfigurationSource.Peer(peer), clock.now())
+    }
+
+    /** Applies the [changes] that [peer] has sent. Returns whether the version that they make, or a later one, is in force. */
+    @Synchronized
+    fun applyChanges(
+        changes: List<ConfigurationChange>,
+        peer: InstanceName,
+    ): Boolean {
+        val held = published ?: return false
+        val digest = digest ?: return false
+        // Another source was faster.
+        if (changes.isNotEmpty() && changes.last().target.version <= digest.version) return true
+        return application.apply(digest, held, changes).fold(
+            { fault ->
+                relay.counts.refused()
+                decisions.record(
+                    "configuration",
+                    "refused changes",
+                    "${ErrorKind.DOCUMENT_REFUSED}: $fault",
+                    "peer" to peer,
+                    "held" to digest,
+                )
+                false
+            },
+            { offer(reader.decodeConfiguration(it), ConfigurationSource.Peer(peer), clock.now(), changes) },
+        )
     }
 
     /** Reads all evacuations within [timeout], some of which watches may have omitted. */
@@ -238,19 +276,19 @@
         confirmedAt = schedule.answered(read, hasChanges, sentAt, now)
     }
 
+    /** Returns whether the offered version, or a later one, is in force. [changes] have led to it from the one in force before, if any. */
     @Synchronized
     private fun offer(
         published: PublishedConfiguration,
         source: ConfigurationSource,
         now: Moment,
-    ) {
+        changes: List<ConfigurationChange> = emptyList(),
+    ): Boolean {
         val snapshot =
-            published.document.fold({ faults -> return logRefusal(published, faults.joinToString("; ")) }, { document ->
-                ConfigurationParser.validate(document, published.bytes).fold(
-                    { faults -> return logRefusal(published, faults.joinToString("; ")) },
-                    { it },
-                )
-            })
+            published.document.flatMap { ConfigurationParser.validate(it, published.bytes) }.fold(
+                { faults -> return logRefusal(published, faults.joinToString("; ")) },
+                { it },
+            )
         when (val decision = holder.offer(snapshot, source, now)) {
             is OfferDecision.InForce -> {
                 routing.putInForce(decision.held.snapshot)
@@ -263,22 +301,39 @@
                     "source" to source,
                     "confirmedBefore" to age(now),
                 )
-                relay.updateConfiguration(snapshot.digest.version, published.bytes)
+                if (source is ConfigurationSource.Peer) relay.counts.received(formOf(changes))
+                val steps = changes.ifEmpty { listOfNotNull(decision.previous?.let { changeFrom(it, snapshot.digest, published.bytes) }) }
+                this.published = published.bytes
+                relay.updateConfiguration(snapshot.digest, published.bytes, steps)
+                return true
             }
 
             is OfferDecision.ConflictingContent, is OfferDecision.Older -> {
                 decisions.record("configuration", "refused ${snapshot.digest.version}", decision.toString())
+                return decision is OfferDecision.Older
             }
 
-            is OfferDecision.AlreadyHeld, is OfferDecision.WaitingForFloor, is OfferDecision.Refused -> Unit
+            is OfferDecision.AlreadyHeld -> return true
+
+            is OfferDecision.WaitingForFloor, is OfferDecision.Refused -> return false
         }
     }
 
+    private fun formOf(changes: List<ConfigurationChange>): TransferForm =
+        if (changes.isEmpty()) TransferForm.DOCUMENT else TransferForm.CHANGES
+
+    private fun changeFrom(
+        previous: ConfigurationDigest,
+        next: ConfigurationDigest,
+        bytes: ByteArray,
+    ): ConfigurationChange? = published?.let { ConfigurationChange(previous, next, VcdiffDelta.encode(it, bytes)) }
+
     private fun logRefusal(
         published: PublishedConfiguration,
         faults: String,
-    ) {
+    ): Boolean {
         decisions.record("configuration", "refused", faults, "bytes" to published.bytes.size)
+        return false
     }
 
     private companion object {
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -7,11 +7,13 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.celeryusher.kernel.distribution.DocumentTransfers
 import org.celeryusher.kernel.distribution.EvacuationCheck
 import org.celeryusher.kernel.distribution.SourceChoice
 import org.celeryusher.kernel.distribution.SourceMode
 import org.celeryusher.kernel.distribution.SourceSchedule
 import org.celeryusher.kernel.distribution.SourceScheduleSettings
+import org.celeryusher.kernel.distribution.TransferOutcome
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
@@ -52,6 +54,7 @@
     private val check = EvacuationCheck(clock.now())
     private var wasAnswered = false
     private val cursors = PeerCursors()
+    private val transfers = DocumentTransfers()
 
     /** The platform or the node that was last asked, for the status page; null before the first. */
     @Volatile
@@ -111,7 +114,7 @@
             }
         when (choice) {
             is SourceChoice.Platform -> readPlatform(scope)
-            is SourceChoice.Peer -> ask(choice, own)
+            is SourceChoice.Peer -> ask(choice, own, scope)
             is SourceChoice.WaitUntil -> servers.waitUntil(choice.moment)
         }
     }
@@ -176,6 +179,7 @@
     private suspend fun ask(
         choice: SourceChoice.Peer,
         own: InstanceName?,
+        scope: CoroutineScope,
     ) {
         val peer = choice.member
         logSource("the node beside ${peer.instance}")
@@ -186,14 +190,16 @@
                 0,
                 known?.processStart,
                 known?.number,
-                configuration.version,
+                // A version that is being transferred is no news.
+                maxOfOrNull(configuration.version, transfers.awaited?.version),
                 choice.wait.inWholeMilliseconds,
                 evacuations.changedAt,
                 own.takeIf { synchronized(schedule) { schedule.offersData(sentAt) } },
                 choice.acceptsOldData,
+                configuration.digest,
             )
         when (val reply = peers.query(peer.frameAddress, query, choice.timeout)) {
-            is SourceReply.Answered -> takeOver(reply.update, peer, sentAt)
+            is SourceReply.Answered -> takeOver(reply.update, peer, sentAt, scope)
             is SourceReply.Unanswered -> peerFailed(peer, reply, sentAt)
         }
     }
@@ -219,6 +225,7 @@
         update: Frame.SourceUpdate,
         peer: Member,
         sentAt: Moment,
+        scope: CoroutineScope,
     ) {
         // The age counts from the earliest time at which the peer can have answered, so that a delayed answer does not seem recent.
         val age = update.ageMilliseconds?.takeIf { eras.acceptsRelayed(update.era, "the node beside ${peer.instance}", clock.now()) }
@@ -239,14 +246,64 @@
         if (isRecent && confirmedAt != null) servers.peerAnswered(update.position, confirmedAt)
         if (age != null || update.ageMilliseconds == null) applyList(update, peer.instance)
         // The version of a configuration decides, whatever the era in which it was read.
-        update.configuration?.let { configuration.offerRelayed(it, peer.instance) }
+        val isNewest = takeOverConfiguration(update, peer, scope)
         if (isRecent && confirmedAt != null) {
             servers.confirmed(update.position, confirmedAt)
-            configuration.confirmed(confirmedAt)
+            if (isNewest) configuration.confirmed(confirmedAt)
         }
         if (isRecent) synchronized(schedule) { check.peerAnswered(clock.now()) }
     }
 
+    /** Returns whether the configuration in force is as new as that of [peer], or asks for the whole document. */
+    private fun takeOverConfiguration(
+        update: Frame.SourceUpdate,
+        peer: Member,
+        scope: CoroutineScope,
+    ): Boolean {
+        update.configuration?.let { return configuration.offerRelayed(it, peer.instance) }
+        val newest = update.newest ?: return transfers.awaited == null
+        if (update.changes?.let { configuration.applyChanges(it, peer.instance) } == true) return true
+        if (transfers.begin(newest, configuration.version ?: 0)) {
+            decisions.record(
+                "source",
+                "asks for the whole configuration",
+                "no changes lead to it",
+                "peer" to peer.instance,
+                "newest" to newest,
+            )
+            scope.launch { transferDocument(peer) }
+        }
+        return false
+    }
+
+    private suspend fun transferDocument(peer: Member) {
+        var isComplete = false
+        try {
+            val query = Frame.SourceQuery(0, version = configuration.version, waitMilliseconds = 0, wantsDocument = true)
+            val reply = peers.query(peer.frameAddress, query, settings.documentTimeout)
+            val document = (reply as? SourceReply.Answered)?.update?.configuration
+            isComplete = document != null && configuration.offerRelayed(document, peer.instance)
+            if (reply is SourceReply.Unanswered) {
+                logLeft(
+                    peer,
+                    reply.reason,
+                    "receivedBytes" to reply.receivedBytes,
+                    "read" to "configuration",
+                )
+            }
+        } finally {
+            if (transfers.ended(isComplete) == TransferOutcome.READ_PLATFORM) {
+                synchronized(schedule) { schedule.resumed() }
+                configuration.readCompletelySoon()
+            }
+        }
+    }
+
+    private fun maxOfOrNull(
+        first: Long?,
+        second: Long?,
+    ): Long? = listOfNotNull(first, second).maxOrNull()
+
     private fun applyList(
         update: Frame.SourceUpdate,
         peer: InstanceName,
--- a/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
@@ -4,12 +4,15 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.configuration.ConfigurationDigest
+import org.celeryusher.kernel.distribution.ConfigurationChange
 import org.celeryusher.kernel.execution.Uptime
 import org.celeryusher.kernel.identity.DataCentreName
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Evacuation
 import org.celeryusher.kernel.membership.EvacuationSet
 import org.celeryusher.kernel.time.Moment
+import org.celeryusher.node.metrics.TransferForm
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
@@ -52,8 +55,8 @@
     /** Guards against fields of a query that are lost when it is sent, such as the evacuations that the sender knows. */
     @Test
     fun aQueryKeepsAllFieldsWhenItIsNumbered() {
-        val query = Frame.SourceQuery(0, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true)
-        val expected = Frame.SourceQuery(9, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true)
+        val query = Frame.SourceQuery(0, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true)
+        val expected = Frame.SourceQuery(9, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true)
         assertContentEquals(FrameCodec.encode(expected), FrameCodec.encode(query.withExchange(9)))
     }
 
@@ -76,4 +79,49 @@
             assertEquals(isNews, isAnswered?.evacuations != null, "known up to $known")
         }
     }
+
+    /** Guards against whole documents for nodes that need a change, and against changes for nodes of an earlier version, which know none. */
+    @Test
+    fun aNodeGetsAConfigurationInTheFormThatItTakes() {
+        data class Case(
+            val name: String,
+            val query: Frame.SourceQuery,
+            val hasDocument: Boolean,
+            val changes: Int?,
+            val isNewer: Boolean,
+        )
+
+        fun query(
+            version: Long,
+            held: ConfigurationDigest?,
+            wantsDocument: Boolean = false,
+        ) = Frame.SourceQuery(1, 1, 0, version, 0, held = held, wantsDocument = wantsDocument)
+        val digests = List(4) { ConfigurationDigest(it.toLong(), it * 10L) }
+        val relay = SourceRelay { now }
+        relay.updateConfiguration(digests[1], ByteArray(50_000))
+        for (version in 2..3) {
+            val change = ConfigurationChange(digests[version - 1], digests[version], ByteArray(20))
+            relay.updateConfiguration(digests[version], ByteArray(50_000), listOf(change))
+        }
+        val cases =
+            listOf(
+                Case("one version behind", query(2, digests[2]), hasDocument = false, changes = 1, isNewer = true),
+                Case("two versions behind", query(1, digests[1]), hasDocument = false, changes = 2, isNewer = true),
+                Case("fallen out of the history", query(0, digests[0]), hasDocument = false, changes = null, isNewer = true),
+                Case("asks for the document", query(0, null, wantsDocument = true), hasDocument = true, changes = null, isNewer = false),
+                Case("awaits the newest document", query(3, digests[0]), hasDocument = false, changes = null, isNewer = false),
+                Case("an earlier version", query(2, null), hasDocument = true, changes = null, isNewer = false),
+                Case("nothing new", query(3, digests[3]), hasDocument = false, changes = null, isNewer = false),
+            )
+        for (case in cases) {
+            val update = runBlocking { relay.answer(case.query, processStart = 1) { Uptime(0) } }
+            assertEquals(case.hasDocument, update.configuration != null, case.name)
+            assertEquals(case.changes, update.changes?.size, case.name)
+            assertEquals(digests[3].takeIf { case.isNewer }, update.newest, case.name)
+            val sent = FrameCodec.decode(FrameCodec.encode(update)) as Frame.SourceUpdate
+            assertEquals(update.changes?.map { it.target }, sent.changes?.map { it.target }, case.name)
+        }
+        assertEquals(60, relay.counts.sentBytesOf(TransferForm.CHANGES))
+        assertEquals(2, relay.counts.sentOf(TransferForm.DOCUMENT))
+    }
 }
