Show how far a node is behind, and what it exchanges of configurations

An operator of a late node saw its version, not whether a newer one was known there, nor in which form it came. The status and the metrics now have the newest version heard of, for how long the node has been behind it, and the changes and documents sent, received and refused. The log line of a version in force states how many changes have led to it.

--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
@@ -8,6 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** A link that sends one message after the other, in both directions alike. */
 internal class ReplayedLink(
@@ -41,6 +42,8 @@
     val transfers = DocumentTransfers()
     val outgoing = ReplayedLink(megabitsPerSecond)
     val incoming = ReplayedLink(megabitsPerSecond)
+    var isKilled = false
+    var sentBytes = 0L
     var version = 1L
     val digest: ConfigurationDigest get() = digestOf(version)
     var confirmedAt = Moment(0)
@@ -86,6 +89,23 @@
     var longestDelay = Duration.ZERO
         private set
 
+    /** The same, counted from the time at which the first node had it in force. */
+    var longestLag = Duration.ZERO
+        private set
+    private val firstInForceAt = HashMap<Long, Moment>()
+
+    /** All nodes in reader order. */
+    private val readers = RendezvousOrder.sorted("readers of the platform", nodes.map { it.member.instance })
+
+    /** The greatest number of bytes that a node has sent to others a second, on average. */
+    val highestBytesPerSecond: Double get() = nodes.maxOf { it.sentBytes } / (now - Moment(0)).toDouble(DurationUnit.SECONDS)
+
+    /** Kills the node at [position] of the reader order at [at]; it answers nothing from then on. */
+    fun killReader(
+        position: Int,
+        at: Duration,
+    ): Unit = schedule(Moment(0) + at) { nodes.single { it.member.instance == readers[position] }.isKilled = true }
+
     /** The reads of the platform that have carried a document. */
     var documentReads = 0
         private set
@@ -108,7 +128,7 @@
             now = event.at
             event.action()
         }
-        for (node in nodes) recordDelay(node, published)
+        for (node in nodes) if (!node.isKilled) recordDelay(node, published)
     }
 
     private fun publish() {
@@ -124,6 +144,7 @@
     }
 
     private fun choose(node: ConvergenceNode) {
+        if (node.isKilled) return
         when (val choice = node.schedule.choose(view, node.member.instance, now)) {
             is SourceChoice.Platform -> readPlatform(node)
             is SourceChoice.Peer -> ask(node, byMember.getValue(choice.member), choice)
@@ -160,6 +181,7 @@
             }
         }
         schedule(now + LATENCY) {
+            if (peer.isKilled) return@schedule
             peer.schedule.queried(now)
             holdQuery(node, peer, now + minOf(choice.wait, RECENT - (now - peer.confirmedAt))) { isOpen.also { isOpen = false } }
         }
@@ -230,6 +252,8 @@
         bytes: Int,
         then: () -> Unit,
     ) {
+        if (from.isKilled) return
+        from.sentBytes += bytes
         schedule(from.outgoing.send(bytes, now)) { schedule(to.incoming.send(bytes, now) + LATENCY, then) }
     }
 
@@ -243,7 +267,8 @@
         version: Long,
         changes: List<ConfigurationChange> = listOf(changeTo(node, version)),
     ) {
-        if (version <= node.version) return
+        if (version <= node.version || node.isKilled) return
+        firstInForceAt.getOrPut(version) { now }
         recordDelay(node, version)
         changes.forEach(node.history::add)
         node.version = version
@@ -257,7 +282,11 @@
         node: ConvergenceNode,
         version: Long,
     ) {
-        for (missed in node.version + 1..version) longestDelay = maxOf(longestDelay, now - publishedAt.getValue(missed))
+        for (missed in node.version + 1..version) {
+            longestDelay = maxOf(longestDelay, now - publishedAt.getValue(missed))
+            // A version that the readers have skipped was never in force.
+            firstInForceAt[missed]?.let { longestLag = maxOf(longestLag, now - it) }
+        }
     }
 
     private companion object {
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
@@ -23,13 +23,37 @@
             )
         for (case in cases) {
             val replay =
-                ConvergenceReplay(case.nodes, megabitsPerSecond = 7.0, documentBytes = 270_000, compressedBytes = 22_000, changeBytes = 200)
+                replayOf(case.nodes)
             replay.play(case.versions, case.interval, rest = TARGET)
             assertTrue(replay.longestDelay <= TARGET, "$case: a node was behind for ${replay.longestDelay}")
         }
     }
 
+    /** Guards against a fleet in which the last nodes have a version long after the first one, whatever its size. */
+    @Test
+    fun theLastNodeIsNotFarBehindTheFirstAtAnySize() {
+        for (nodes in listOf(79, 300, 1_600)) {
+            for (versions in listOf(1, 36)) {
+                val calm = replayOf(nodes)
+                calm.play(versions, interval = 830.milliseconds, rest = TARGET)
+                assertTrue(calm.longestLag <= LAG, "$nodes nodes, $versions versions: ${calm.longestLag}")
+                assertTrue(calm.documentReads <= 2 * versions, "$nodes nodes: ${calm.documentReads} documents read from the platform")
+                val killed = replayOf(nodes)
+                killed.killReader(0, at = 5.1.seconds)
+                killed.killReader(1, at = 12.seconds)
+                killed.play(versions, interval = 830.milliseconds, rest = TARGET)
+                assertTrue(killed.longestLag <= LAG_AFTER_KILLS, "$nodes nodes, $versions versions, readers killed: ${killed.longestLag}")
+            }
+        }
+    }
+
+    private fun replayOf(nodes: Int) =
+        ConvergenceReplay(nodes, megabitsPerSecond = 7.0, documentBytes = 270_000, compressedBytes = 22_000, changeBytes = 200)
+
     private companion object {
+        val LAG = 1.seconds
+        val LAG_AFTER_KILLS = 2.seconds
+
         /** The time that the deployments allow between the publication of a version and its use by all nodes. */
         val TARGET = 2_500.milliseconds
     }
--- a/node/src/main/kotlin/org/celeryusher/node/control/SourceReadStatus.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/SourceReadStatus.kt
@@ -32,6 +32,32 @@
     public val heldInstances: List<InstanceName> = emptyList(),
     /** The evacuations that are in force although the platform does not list them, for the same reason. */
     public val heldEvacuations: List<DataCentreName> = emptyList(),
+    /** How far this node is behind the newest configuration that it has heard of. */
+    public val lag: VersionLagStatus = VersionLagStatus(null, 0),
+    /** The configurations sent to other nodes and taken over from them. */
+    public val transfers: TransferStatus = TransferStatus(),
+)
+
+/** How far a node is behind the newest configuration that it has heard of. */
+@Serializable
+public data class VersionLagStatus(
+    /** The newest version that this node has, or of which another one has told it; null before the first. */
+    public val newestHeard: Long?,
+    /** How long this node has known of a version that it does not have; 0 if it has the newest one. */
+    public val behindMilliseconds: Long,
+)
+
+/** The configurations that a node has exchanged with others since its start. */
+@Serializable
+public data class TransferStatus(
+    public val changesSent: Long = 0,
+    public val changeBytesSent: Long = 0,
+    public val documentsSent: Long = 0,
+    public val documentBytesSent: Long = 0,
+    public val changesReceived: Long = 0,
+    public val documentsReceived: Long = 0,
+    /** The answers with changes that were refused, and in place of which a whole document was asked for. */
+    public val changesRefused: Long = 0,
 )
 
 /** A read of the platform without a valid answer. */
--- a/node/src/main/kotlin/org/celeryusher/node/metrics/ConfigurationTransferCounts.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/metrics/ConfigurationTransferCounts.kt
@@ -1,5 +1,6 @@
 package org.celeryusher.node.metrics
 
+import org.celeryusher.node.control.TransferStatus
 import java.util.concurrent.atomic.LongAdder
 
 /** The form in which a node gets a configuration from another one. */
@@ -42,6 +43,18 @@
     /** The number of answers whose changes were refused. */
     public val refusedChanges: Long get() = refused.sum()
 
+    /** Returns the counts for the status page. */
+    public fun status(): TransferStatus =
+        TransferStatus(
+            changesSent = sentOf(TransferForm.CHANGES),
+            changeBytesSent = sentBytesOf(TransferForm.CHANGES),
+            documentsSent = sentOf(TransferForm.DOCUMENT),
+            documentBytesSent = sentBytesOf(TransferForm.DOCUMENT),
+            changesReceived = receivedOf(TransferForm.CHANGES),
+            documentsReceived = receivedOf(TransferForm.DOCUMENT),
+            changesRefused = refusedChanges,
+        )
+
     private fun countSent(
         form: TransferForm,
         bytes: Int,
--- a/node/src/main/kotlin/org/celeryusher/node/metrics/SourceMeters.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/metrics/SourceMeters.kt
@@ -34,6 +34,14 @@
                 .tags("fault", name)
                 .register(registry)
         }
+        counter("celeryusher.configuration.sent", read, "form", "changes") { it.transfers.changesSent }
+        counter("celeryusher.configuration.sent", read, "form", "document") { it.transfers.documentsSent }
+        counter("celeryusher.configuration.sent.bytes", read, "form", "changes") { it.transfers.changeBytesSent }
+        counter("celeryusher.configuration.sent.bytes", read, "form", "document") { it.transfers.documentBytesSent }
+        counter("celeryusher.configuration.received", read, "form", "changes") { it.transfers.changesReceived }
+        counter("celeryusher.configuration.received", read, "form", "document") { it.transfers.documentsReceived }
+        counter("celeryusher.configuration.changes.refused", read) { it.transfers.changesRefused }
+        gauge("celeryusher.configuration.lag.seconds") { toSeconds(read().lag.behindMilliseconds) }
         gauge("celeryusher.source.era") { read().era?.toDouble() ?: Double.NaN }
         gauge("celeryusher.source.era.change.age.seconds") { toSeconds(read().eraChangeAgeMilliseconds) }
         gauge("celeryusher.source.held", "data", "instances") { read().heldInstances.size.toDouble() }
@@ -44,6 +52,15 @@
 
     private fun toSeconds(milliseconds: Long?): Double = if (milliseconds == null) Double.NaN else milliseconds / MILLISECONDS_PER_SECOND
 
+    private fun counter(
+        name: String,
+        read: () -> SourceReadStatus,
+        vararg tags: String,
+        value: (SourceReadStatus) -> Long,
+    ) {
+        FunctionCounter.builder(name, read) { value(it()).toDouble() }.tags(*tags).register(registry)
+    }
+
     private fun gauge(
         name: String,
         vararg tags: String,
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -13,6 +13,7 @@
 import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.distribution.VersionFloor
 import org.celeryusher.kernel.distribution.VersionHolder
+import org.celeryusher.kernel.distribution.VersionLag
 import org.celeryusher.kernel.distribution.WatchSchedule
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.identity.InstanceName
@@ -22,6 +23,7 @@
 import org.celeryusher.node.control.ConfigurationStatus
 import org.celeryusher.node.control.ConflictStatus
 import org.celeryusher.node.control.RefusedStatus
+import org.celeryusher.node.control.VersionLagStatus
 import org.celeryusher.node.http.ReceiveProgress
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.metrics.TransferForm
@@ -59,6 +61,8 @@
     private var position = StorePosition.START
     private val application = ChangeApplication(VcdiffDelta, MAXIMUM_BYTES)
 
+    private val lag = VersionLag()
+
     /** The configuration in force as it was published, from which changes start. */
     private var published: ByteArray? = null
 
@@ -102,6 +106,14 @@
         confirmedAt = at
     }
 
+    /** Records that another node has [version]. */
+    @Synchronized
+    fun heard(version: Long): Unit = lag.heard(version, clock.now())
+
+    /** Returns how far this node is behind the newest version that it has heard of, for the status page. */
+    @Synchronized
+    fun lagStatus(now: Moment): VersionLagStatus = VersionLagStatus(lag.newestHeard, lag.durationAt(now).inWholeMilliseconds)
+
     /** Returns the configuration in force for the status page. */
     @Synchronized
     fun status(now: Moment): ConfigurationStatus? =
@@ -292,6 +304,7 @@
         when (val decision = holder.offer(snapshot, source, now)) {
             is OfferDecision.InForce -> {
                 routing.putInForce(decision.held.snapshot)
+                lag.putInForce(snapshot.digest.version, now)
                 decisions.record(
                     "configuration",
                     "in force ${snapshot.digest.version}",
@@ -299,6 +312,7 @@
                     "before" to decision.previous?.version,
                     "bytes" to published.bytes.size,
                     "source" to source,
+                    "changes" to changes.size,
                     "confirmedBefore" to age(now),
                 )
                 if (source is ConfigurationSource.Peer) relay.counts.received(formOf(changes))
--- a/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
@@ -41,7 +41,7 @@
     private val incarnation: Incarnation,
     private val routing: RoutingState,
     platformReader: PlatformReader,
-    relay: SourceRelay,
+    private val relay: SourceRelay,
     peers: SourcePeers,
     private val clock: ProcessClock,
     random: Random,
@@ -130,6 +130,8 @@
             refusedEras = eras.refusals().mapKeys { (fault, _) -> fault.name.lowercase() },
             heldInstances = servers.held.sortedBy { it.value },
             heldEvacuations = evacuations.held(now).sortedBy { it.value },
+            lag = configuration.lagStatus(now),
+            transfers = relay.counts.status(),
         )
 
     private fun readCompletelySoon() {
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -262,6 +262,7 @@
     ): Boolean {
         update.configuration?.let { return configuration.offerRelayed(it, peer.instance) }
         val newest = update.newest ?: return transfers.awaited == null
+        configuration.heard(newest.version)
         if (update.changes?.let { configuration.applyChanges(it, peer.instance) } == true) return true
         if (transfers.begin(newest, configuration.version ?: 0)) {
             decisions.record(
--- a/node/src/test/kotlin/org/celeryusher/node/metrics/NodeMetricsTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/metrics/NodeMetricsTest.kt
@@ -18,6 +18,8 @@
 import org.celeryusher.node.control.RefusedStatus
 import org.celeryusher.node.control.SourceReadStatus
 import org.celeryusher.node.control.SourceStatus
+import org.celeryusher.node.control.TransferStatus
+import org.celeryusher.node.control.VersionLagStatus
 import org.celeryusher.node.runtime.RoutingState
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -37,7 +39,9 @@
         val counts = ReadCounts()
         repeat(3) { counts.record(ReadKind.CONFIGURATION, ReadOutcome.ANSWERED) }
         counts.record(ReadKind.EVACUATIONS, ReadOutcome.FAILED)
-        metrics.registerSourceMeters(counts) { SourceReadStatus(SourceMode.FOLLOWING, null, 0, 10, 2_500, null, counts.describe()) }
+        val status = SourceReadStatus(SourceMode.FOLLOWING, null, 0, 10, 2_500, null, counts.describe())
+        val transfers = TransferStatus(changesSent = 4, changeBytesSent = 400, documentsReceived = 1, changesRefused = 2)
+        metrics.registerSourceMeters(counts) { status.copy(lag = VersionLagStatus(7, 1_500), transfers = transfers) }
         val expected =
             listOf(
                 """celeryusher_source_reads_total{outcome="answered",read="configuration"} 3.0""",
@@ -46,6 +50,11 @@
                 """celeryusher_source_mode{mode="reading"} 0.0""",
                 """celeryusher_instances_source_age_seconds 2.5""",
                 """celeryusher_evacuations_listing_age_seconds NaN""",
+                """celeryusher_configuration_sent_total{form="changes"} 4.0""",
+                """celeryusher_configuration_sent_bytes_total{form="changes"} 400.0""",
+                """celeryusher_configuration_received_total{form="document"} 1.0""",
+                """celeryusher_configuration_changes_refused_total 2.0""",
+                """celeryusher_configuration_lag_seconds 1.5""",
             )
         val lines = metrics.scrape().lines()
         for (line in expected) assertContains(lines, line, message = lines.joinToString("\n"))
