Count the arrival of an answer as contact with the platform

Followers left a reader although a document had just arrived at it: what it has counts from the sending of its read, and once nothing is arriving any more the allowance ended at once.

The time at which the last answer arrived now counts as well, within the same allowance of one second.

--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -95,8 +95,12 @@
             relay.configurationConfirmed(value)
         }
 
+    /** When the last answer of the platform arrived, which states what was current when it was sent, or earlier. */
+    @Volatile
+    private var answeredAt: Moment = Moment.DISTANT_PAST
+
     /** Returns when the platform was last heard of the configuration: the end of a read, or bytes of one that is still under way. */
-    fun heardAt(): Moment = maxOf(confirmedAt, progress.receivedSince ?: Moment.DISTANT_PAST)
+    fun heardAt(): Moment = maxOf(confirmedAt, answeredAt, progress.receivedSince ?: Moment.DISTANT_PAST)
 
     /** Returns the age of what this node knows, or null before the first answer. */
     fun age(now: Moment): Duration? = if (confirmedAt == Moment.DISTANT_PAST) null else now - confirmedAt
@@ -284,6 +288,7 @@
             data.configuration?.let { offer(it, ConfigurationSource.Platform, now) }
         }
         position = reached
+        answeredAt = now
         val hasChanges = data.configuration != null || data.evacuations.isNotEmpty()
         confirmedAt = schedule.answered(read, hasChanges, sentAt, now)
     }
