Compress complete lists of servers between nodes

A node that changes to another peer gets the complete list of servers, above 16 KB for 78 servers, which waits for its turn on a link of 7 Mbit/s as a large message.

The entries of a list are much alike: compressed, 100 servers fit into a small message (SourceRelayTest). Nodes of an earlier version get the list as before.

--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -219,6 +219,10 @@
         @SerialName("c") public val changes: List<ConfigurationChange>? = null,
         /** How long ago the node heard of the platform, whose answer may still be arriving; null from an earlier version. */
         @SerialName("b") public val contactMilliseconds: Long? = null,
+        /** The complete list in place of [servers], compressed, for a node that takes it so; see [SourceQuery.held]. */
+        @ByteString
+        @SerialName("l")
+        public val compressedServers: ByteArray? = null,
     ) : Frame {
         /** The position of the list up to which [servers] is complete. */
         public val position: StorePosition get() = StorePosition(era, revision)
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -195,6 +195,8 @@
         if (answer is ConfigurationAnswer.Changes) counts.sentChanges(answer.changes.sumOf { it.delta.size })
         val document = newest?.takeIf { query.wantsDocument || query.held == null }?.compressed
         document?.let { counts.sentDocument(it.size) }
+        val list = if (isKnown && !query.wantsDocument) journal.changesSince(cursor).takeUnless(::isEmpty) else null
+        val isCompressed = list?.isComplete == true && query.held != null
         return Frame.SourceUpdate(
             exchange = query.exchange,
             processStart = processStart,
@@ -202,7 +204,8 @@
             contactMilliseconds = if (isKnown) ageOfContact(now).inWholeMilliseconds else null,
             ageMilliseconds = if (isKnown) (now - confirmedAt).inWholeMilliseconds else null,
             revision = position.revision,
-            servers = if (isKnown && !query.wantsDocument) journal.changesSince(cursor).takeUnless(::isEmpty) else null,
+            servers = list.takeUnless { isCompressed },
+            compressedServers = list?.takeIf { isCompressed }?.let(ServerListCompression::compress),
             configuration = document,
             uptime = uptime,
             evacuations = evacuations,
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -14,11 +14,14 @@
 import org.celeryusher.kernel.distribution.SourceSchedule
 import org.celeryusher.kernel.distribution.SourceScheduleSettings
 import org.celeryusher.kernel.distribution.TransferOutcome
+import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
+import org.celeryusher.kernel.membership.ServerListChanges
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.Frame
+import org.celeryusher.node.call.ServerListCompression
 import org.celeryusher.node.call.SourceRelay
 import org.celeryusher.node.call.SourceReply
 import org.celeryusher.node.log.DecisionLog
@@ -310,7 +313,7 @@
         peer: InstanceName,
     ) {
         update.evacuations?.let { evacuations.applyRelayed(it, peer, clock.now()) }
-        update.servers?.let {
+        serversIn(update, peer)?.let {
             servers.applyRelayed(it, update.position, peer)
             // What the list of this peer lacks may never have been missing at the others, whose changes do not say so.
             if (it.isComplete && servers.held.isNotEmpty()) cursors.clear()
@@ -318,6 +321,20 @@
         }
     }
 
+    private fun serversIn(
+        update: Frame.SourceUpdate,
+        peer: InstanceName,
+    ): ServerListChanges? {
+        val compressed = update.compressedServers ?: return update.servers
+        val list = ServerListCompression.expandOrNull(compressed)
+        if (list ==
+            null
+        ) {
+            decisions.record("servers", "refused a list", "${ErrorKind.MESSAGE_MALFORMED}", "peer" to peer, "bytes" to compressed.size)
+        }
+        return list
+    }
+
     private fun logSource(source: String) {
         if (source != lastSource) decisions.record("source", "reads $source", "the order of readers", "before" to lastSource)
         lastSource = source
--- a/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
@@ -4,18 +4,27 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import org.celeryusher.kernel.admission.LinkSchedule
 import org.celeryusher.kernel.configuration.ConfigurationDigest
 import org.celeryusher.kernel.distribution.ConfigurationChange
 import org.celeryusher.kernel.execution.Uptime
+import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.DataCentreName
 import org.celeryusher.kernel.identity.InstanceName
+import org.celeryusher.kernel.identity.ServiceName
+import org.celeryusher.kernel.identity.StorePosition
 import org.celeryusher.kernel.membership.Evacuation
 import org.celeryusher.kernel.membership.EvacuationSet
+import org.celeryusher.kernel.membership.ListedServer
+import org.celeryusher.kernel.membership.ListedServerState
+import org.celeryusher.kernel.membership.ServerListChange
+import org.celeryusher.kernel.membership.ServerListChanges
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.metrics.TransferForm
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Guards against a node that keeps following a reader whose data has grown old. */
@@ -124,4 +133,39 @@
         assertEquals(60, relay.counts.sentBytesOf(TransferForm.CHANGES))
         assertEquals(2, relay.counts.sentOf(TransferForm.DOCUMENT))
     }
+
+    /** Guards against lists that wait for their turn on a slow link, and against damaged ones. */
+    @Test
+    fun aCompleteListIsSmallForANodeThatTakesItCompressed() {
+        val digest = ConfigurationDigest(1, 1)
+        val relay = SourceRelay { now }
+        relay.listConfirmed(now)
+        relay.configurationConfirmed(now)
+        val servers = List(100) { ServerListChange.Written(serverAt(it), revision = it + 1L, createdRevision = 1L) }
+        relay.updateServers(servers, StorePosition(0, 200))
+        for (held in listOf(digest, null)) {
+            val query = Frame.SourceQuery(1, version = 1, waitMilliseconds = 0, held = held)
+            val update = runBlocking { relay.answer(query, processStart = 1) { Uptime(0) } }
+            val isSmall = FrameCodec.encode(update).size < LinkSchedule.PART_BYTES
+            assertEquals(held != null, isSmall, "held $held: ${FrameCodec.encode(update).size} bytes")
+            val list = update.servers ?: update.compressedServers?.let(ServerListCompression::expandOrNull)
+            assertEquals(servers.toSet(), list?.changes?.toSet(), "held $held")
+        }
+        val compressed = ServerListCompression.compress(ServerListChanges(servers, 100, true))
+        assertNull(ServerListCompression.expandOrNull(compressed.copyOf(compressed.size / 2)))
+        assertNull(ServerListCompression.expandOrNull(ByteArray(100)))
+    }
+
+    private fun serverAt(index: Int) =
+        ListedServer(
+            InstanceName("i-d0b35f04$index"),
+            ServiceName("reservas"),
+            DataCentreName("sierra-a"),
+            Address("10.1.0.$index", 8_684),
+            slots = 6,
+            state = ListedServerState.READY,
+            slowStartRemaining = 500.milliseconds,
+            sequenceNumber = 10L,
+            startedAtMilliseconds = 1_775_000_000_000L + index,
+        )
 }
