Fetch whole configurations in a class of their own, safe against concurrent ends

The transfer ran in a coroutine of its own and changed the state of DocumentTransfers beside the one that asks; both hold its monitor now. A transfer whose version has come by another way meanwhile no longer counts as failed.

--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -216,14 +216,15 @@
         )
     }
 
+    /** Returns how the sender of [query] gets [newest] if it takes changes, or null if it gets a document with this answer. */
     private fun answerOf(
         query: Frame.SourceQuery,
         newest: Published,
-    ): ConfigurationAnswer? =
-        query.held
-            ?.takeUnless {
-                query.wantsDocument
-            }?.let { history.answerTo(it, newest.digest) { newest.compressed.size } }
+    ): ConfigurationAnswer? {
+        val held = query.held ?: return null
+        if (query.wantsDocument) return null
+        return history.answerTo(held, newest.digest) { newest.compressed.size }
+    }
 
     private fun isEmpty(changes: ServerListChanges): Boolean = changes.changes.isEmpty() && !changes.isComplete
 
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -7,13 +7,11 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import org.celeryusher.kernel.distribution.DocumentTransfers
 import org.celeryusher.kernel.distribution.EvacuationCheck
 import org.celeryusher.kernel.distribution.SourceChoice
 import org.celeryusher.kernel.distribution.SourceMode
 import org.celeryusher.kernel.distribution.SourceSchedule
 import org.celeryusher.kernel.distribution.SourceScheduleSettings
-import org.celeryusher.kernel.distribution.TransferOutcome
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.identity.Address
 import org.celeryusher.kernel.identity.InstanceName
@@ -57,7 +55,7 @@
     private val check = EvacuationCheck(clock.now())
     private var wasAnswered = false
     private val cursors = PeerCursors()
-    private val transfers = DocumentTransfers()
+    private val documents = DocumentFetcher(configuration, peers, decisions, settings.documentTimeout, ::readCompletely)
 
     /** The platform or the node that was last asked, for the status page; null before the first. */
     @Volatile
@@ -81,6 +79,11 @@
         reading?.cancel()
     }
 
+    private fun readCompletely() {
+        synchronized(schedule) { schedule.resumed() }
+        configuration.readCompletelySoon()
+    }
+
     /** Returns how this node gets the platform's data at [now]. */
     fun mode(now: Moment): SourceMode = synchronized(schedule) { schedule.mode(now) }
 
@@ -194,7 +197,7 @@
                 known?.processStart,
                 known?.number,
                 // A version that is being transferred is no news.
-                maxOfOrNull(configuration.version, transfers.awaited?.version),
+                listOfNotNull(configuration.version, documents.awaitedVersion).maxOrNull(),
                 choice.wait.inWholeMilliseconds,
                 evacuations.changedAt,
                 own.takeIf { synchronized(schedule) { schedule.offersData(sentAt) } },
@@ -264,50 +267,13 @@
         scope: CoroutineScope,
     ): Boolean {
         update.configuration?.let { return configuration.offerRelayed(it, peer.instance) }
-        val newest = update.newest ?: return transfers.awaited == null
+        val newest = update.newest ?: return documents.awaitedVersion == null
         configuration.heard(newest.version)
         if (update.changes?.let { configuration.applyChanges(it, peer.instance) } == true) return true
-        if (transfers.begin(newest, configuration.version ?: 0)) {
-            decisions.record(
-                "source",
-                "asks for the whole configuration",
-                "no changes lead to it",
-                "peer" to peer.instance,
-                "newest" to newest,
-            )
-            scope.launch { transferDocument(peer) }
-        }
+        documents.fetchIfNewer(newest, peer, scope)
         return false
     }
 
-    private suspend fun transferDocument(peer: Member) {
-        var isComplete = false
-        try {
-            val query = Frame.SourceQuery(0, version = configuration.version, waitMilliseconds = 0, wantsDocument = true)
-            val reply = peers.query(peer.frameAddress, query, settings.documentTimeout)
-            val document = (reply as? SourceReply.Answered)?.update?.configuration
-            isComplete = document != null && configuration.offerRelayed(document, peer.instance)
-            if (reply is SourceReply.Unanswered) {
-                logLeft(
-                    peer,
-                    reply.reason,
-                    "receivedBytes" to reply.receivedBytes,
-                    "read" to "configuration",
-                )
-            }
-        } finally {
-            if (transfers.ended(isComplete) == TransferOutcome.READ_PLATFORM) {
-                synchronized(schedule) { schedule.resumed() }
-                configuration.readCompletelySoon()
-            }
-        }
-    }
-
-    private fun maxOfOrNull(
-        first: Long?,
-        second: Long?,
-    ): Long? = listOfNotNull(first, second).maxOrNull()
-
     private fun applyList(
         update: Frame.SourceUpdate,
         peer: InstanceName,
@@ -327,14 +293,15 @@
     ): ServerListChanges? {
         val compressed = update.compressedServers ?: return update.servers
         val list = ServerListCompression.expandOrNull(compressed)
-        if (list ==
-            null
-        ) {
-            decisions.record("servers", "refused a list", "${ErrorKind.MESSAGE_MALFORMED}", "peer" to peer, "bytes" to compressed.size)
-        }
+        if (list == null) logRefusedList(peer, compressed.size)
         return list
     }
 
+    private fun logRefusedList(
+        peer: InstanceName,
+        bytes: Int,
+    ): Unit = decisions.record("servers", "refused a list", "${ErrorKind.MESSAGE_MALFORMED}", "peer" to peer, "bytes" to bytes)
+
     private fun logSource(source: String) {
         if (source != lastSource) decisions.record("source", "reads $source", "the order of readers", "before" to lastSource)
         lastSource = source
