--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameCodec.kt
@@ -75,8 +75,7 @@
     private val ready = ArrayDeque<Frame>()
 
     /** The bytes of large frames that have arrived, as parts or whole. */
-    @Volatile
-    var largeBytes = 0L
+    var largeBytes: Long = 0
         private set
 
     /**
--- a/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FrameConnection.kt
@@ -21,7 +21,7 @@
  */
 internal class FrameConnection(
     private val connection: TcpConnection,
-    maximumFrameBytes: Int,
+    private val maximumFrameBytes: Int,
     private val memory: MessageMemory,
     private val onFrame: (FrameConnection, Frame) -> Unit,
     private val onClosed: (FrameConnection, Throwable?) -> Unit,
@@ -30,7 +30,6 @@
     /** Called whenever bytes have arrived. */
     private val onBytes: () -> Unit = {},
 ) {
-    private val reader = FrameReader(maximumFrameBytes, memory, caller)
     private val outgoing = Channel<QueuedFrame>(OUTGOING_QUEUE_FRAMES)
     private val unsent = AtomicInteger()
     private var jobs: List<Job> = emptyList()
@@ -45,7 +44,9 @@
     val receivedBytes: Long get() = connection.receivedBytes
 
     /** How many of them belong to large frames, which arrive in parts. */
-    val receivedLargeBytes: Long get() = reader.largeBytes
+    @Volatile
+    var receivedLargeBytes: Long = 0
+        private set
 
     /** Whether the connection still accepts frames. */
     @Volatile
@@ -196,8 +197,11 @@
 
     private suspend fun readFrames() {
         var cause: Throwable? = null
+        // A closed connection may still be referred to, and must not keep the buffer of a frame that did not end.
+        val reader = FrameReader(maximumFrameBytes, memory, caller)
         try {
             while (connection.read(reader::add)) {
+                receivedLargeBytes = reader.largeBytes
                 onBytes()
                 while (true) onFrame(this, reader.next() ?: break)
             }
