Log how recent the configuration is by which a route is not found

The line of such an answer now states the age of the confirmation, the time since any source answered, since when a newer version is known, and the time since the last pause. No decision is changed.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/VersionLag.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/VersionLag.kt
@@ -9,7 +9,10 @@
     public var newestHeard: Long? = null
         private set
     private var inForce: Long? = null
-    private var behindSince: Moment? = null
+
+    /** Since when a newer version has been known that is not in force, or null if none is known. */
+    public var behindSince: Moment? = null
+        private set
 
     /** Records at [now] that [version] exists. */
     public fun heard(
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallLog.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallLog.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.call
 
 import org.celeryusher.kernel.configuration.ConfigurationSnapshot
+import org.celeryusher.kernel.distribution.ConfigurationRecency
 import org.celeryusher.kernel.execution.AttemptId
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.membership.Member
@@ -54,12 +55,13 @@
         )
     }
 
-    /** Logs the result that the caller received, and the version of the configuration in force [inForce]. */
+    /** Logs the result that the caller received, the version of the configuration in force [inForce], and how recent it is if that decided. */
     fun callAnswered(
         request: CallRequest,
         result: CallResult,
         route: RouteName?,
         inForce: ConfigurationSnapshot?,
+        recency: ConfigurationRecency? = null,
     ) {
         val failure = result as? CallResult.Failed
         decisions.record(
@@ -74,6 +76,7 @@
             "asked" to request.header(headers.deadline),
             "retryAfter" to failure?.retryAfter,
             "version" to inForce?.digest?.version,
+            *recency?.let { arrayOf("recency" to it) }.orEmpty(),
         )
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -58,11 +58,11 @@
     private val metrics: NodeMetrics,
     private val decisions: DecisionLog,
     private val log: CallLog,
-    private val awaitFreshView: suspend () -> Unit,
+    private val knowledge: FleetKnowledge,
 ) {
     /** Routes [request], runs it with retries, and returns the result for the caller. */
     suspend fun run(request: CallRequest): ProxyResult {
-        awaitFreshView()
+        knowledge.awaitRefresh()
         val current = routing.current
         val table = current.table ?: return failUnrouted(request, ErrorKind.NO_CONFIGURATION)
         val route = table.match(request.method, request.path, request.hostName)
@@ -264,7 +264,8 @@
     ): ProxyResult {
         metrics.recordUnroutedCall(kind)
         return ProxyResult(CallResult.Failed(kind, detail, retryAfter)).also {
-            log.callAnswered(request, it.result, route = null, routing.current.snapshot)
+            val recency = if (kind == ErrorKind.NO_ROUTE) knowledge.configurationRecency(clock.now()) else null
+            log.callAnswered(request, it.result, route = null, routing.current.snapshot, recency)
         }
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/DataPlane.kt
@@ -50,7 +50,7 @@
     headers: CallHeaders,
     private val relay: SourceRelay?,
     ledger: CallerLedger,
-    awaitFreshView: suspend () -> Unit,
+    knowledge: FleetKnowledge,
 ) {
     /** The suspected and quarantined requests, which the control plane exchanges with other nodes. */
     val crashes: CrashRegistry = CrashRegistry(clock, decisions)
@@ -145,7 +145,7 @@
             metrics,
             decisions,
             callLog,
-            awaitFreshView,
+            knowledge,
         )
     private val callers = CallerEndpoint(proxy, tickets, clock, headers, retries, settings.service, decisions)
     private val listener = HttpListener(settings.addresses.callers, resources.network, limitsInForce::callerLimits, callers, ledger)
--- a/node/src/main/kotlin/org/celeryusher/node/control/FleetControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/control/FleetControl.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.control
 
 import kotlinx.coroutines.CoroutineScope
+import org.celeryusher.kernel.distribution.ConfigurationRecency
 import org.celeryusher.kernel.time.Moment
 
 /** Keeps one node's configuration and its view of the fleet up to date. */
@@ -20,6 +21,9 @@
     /** Handles the new state of the backend server that this node fronts. */
     public fun updateBackendServerState(serverState: BackendServerState)
 
+    /** Returns how recent the configuration in force is at [now], or null where nothing states whether it is the newest one. */
+    public fun configurationRecency(now: Moment): ConfigurationRecency? = null
+
     /** Returns the current status. */
     public fun status(): ControlStatus
 
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -13,9 +13,11 @@
 import org.celeryusher.kernel.admission.CallerPort
 import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.distribution.ConfigurationRecency
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.shutdown.StopPhase
 import org.celeryusher.kernel.shutdown.StopSchedule
+import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.admin.AdminPages
 import org.celeryusher.node.admin.HedgeStatus
 import org.celeryusher.node.admin.StatusReporter
@@ -23,6 +25,7 @@
 import org.celeryusher.node.call.BackendServerHealthMonitor
 import org.celeryusher.node.call.CallHeaders
 import org.celeryusher.node.call.DataPlane
+import org.celeryusher.node.call.FleetKnowledge
 import org.celeryusher.node.call.SourceRelay
 import org.celeryusher.node.control.BackendServerState
 import org.celeryusher.node.control.ControlPlane
@@ -78,7 +81,13 @@
     private val callerLimits = settings.callerBudget.limitsOn(settings.machine, resources.network.memory.budget.capacity)
     private val callerReports = CallerReports(metrics.callers, decisions, clock)
     private val ledger = CallerLedger(resources.network.memory, callerLimits, clock, callerReports)
-    private val dataPlane =
+    private val knowledge =
+        object : FleetKnowledge {
+            override suspend fun awaitRefresh(): Unit = awaitFreshView()
+
+            override fun configurationRecency(now: Moment): ConfigurationRecency? = control.configurationRecency(now)
+        }
+    private val dataPlane: DataPlane =
         DataPlane(
             settings,
             incarnation,
@@ -92,7 +101,7 @@
             headers,
             relay,
             ledger,
-            ::awaitFreshView,
+            knowledge,
         )
 
     /** Keeps the configuration and the membership view up to date. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -112,7 +112,15 @@
 
     /** Records that another node has [version]. */
     @Synchronized
-    fun heard(version: Long): Unit = lag.heard(version, clock.now())
+    fun heard(version: Long) {
+        lag.heard(version, clock.now())
+        behindSince = lag.behindSince
+    }
+
+    /** Since when a newer version has been known that is not in force, or null if none is known. */
+    @Volatile
+    var behindSince: Moment? = null
+        private set
 
     /** Returns how far this node is behind the newest version that it has heard of, for the status page. */
     @Synchronized
@@ -310,6 +318,7 @@
             is OfferDecision.InForce -> {
                 routing.putInForce(decision.held.snapshot)
                 lag.putInForce(snapshot.digest.version, now)
+                behindSince = lag.behindSince
                 decisions.record(
                     "configuration",
                     "in force ${snapshot.digest.version}",
--- a/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/PlatformFleetControl.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.celeryusher.kernel.distribution.ConfigurationRecency
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.SourceRelay
@@ -28,6 +29,7 @@
 import org.celeryusher.node.runtime.keepRunning
 import org.celeryusher.node.settings.NodeSettings
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -63,6 +65,10 @@
     @Volatile
     private var refreshUntil = Moment.DISTANT_PAST
 
+    /** The end of the latest pause of this process, or [Moment.DISTANT_PAST] before the first. */
+    @Volatile
+    private var pausedAt = Moment.DISTANT_PAST
+
     override val needsRefresh: Boolean
         get() {
             val now = clock.now()
@@ -71,6 +77,14 @@
                 now - lastTick > TICK_INTERVAL + PAUSE_THRESHOLD
         }
 
+    override fun configurationRecency(now: Moment): ConfigurationRecency =
+        ConfigurationRecency(
+            confirmedAge = configuration.age(now),
+            informedAge = follower.informedAt.takeIf { it != Moment.DISTANT_PAST }?.let { now - it },
+            behindFor = configuration.behindSince?.let { now - it } ?: Duration.ZERO,
+            pausedAge = pausedAt.takeIf { it != Moment.DISTANT_PAST }?.let { now - it },
+        )
+
     override suspend fun start(scope: CoroutineScope) {
         scope.coroutineContext[Job]?.invokeOnCompletion { job.cancel() }
         lastTick = clock.now()
@@ -154,6 +168,7 @@
             lastTick = now
             if (late > PAUSE_THRESHOLD) {
                 logger.warn { "this process was paused for $late; reading the list of backend servers again" }
+                pausedAt = now
                 refreshUntil = now + REFRESH_LIMIT
                 follower.readPlatformSoon()
             }
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -62,6 +62,11 @@
     var lastSource: String? = null
         private set
 
+    /** When the platform or another node last answered, also with old data, or [Moment.DISTANT_PAST] before the first answer. */
+    @Volatile
+    var informedAt: Moment = Moment.DISTANT_PAST
+        private set
+
     private var pendingConfigurationRead: Deferred<Duration?>? = null
 
     /** What is being read now. */
@@ -142,6 +147,7 @@
         }
         val pause = listOfNotNull(listPause, configurationPause).maxOrNull()
         wasAnswered = pause == null
+        if (wasAnswered) informedAt = clock.now()
         if (pause != null) {
             synchronized(schedule) { schedule.platformFailed(pause, clock.now()) }
         } else if (configuration.confirmedAt != Moment.DISTANT_PAST) {
@@ -205,7 +211,11 @@
                 configuration.digest,
             )
         when (val reply = peers.query(peer.frameAddress, query, choice.timeout)) {
-            is SourceReply.Answered -> takeOver(reply.update, peer, sentAt, scope)
+            is SourceReply.Answered -> {
+                informedAt = clock.now()
+                takeOver(reply.update, peer, sentAt, scope)
+            }
+
             is SourceReply.Unanswered -> peerFailed(peer, reply, sentAt)
         }
     }
