Give a process that was held up the time to read what has arrived

Found in a review of the late configurations. A node that gets no processor time for 0.3 s around the end of a query finds its timer and the answer due at once; the timer won, the answer was dropped, its peer left out for 2 s, and the search for another one began. A check that is more than 50 ms late now waits once for what has arrived. aProcessThatWasHeldUpGetsTheTimeToReadWhatHasArrived failed before by construction: the case held up at the end gave the answer up at once.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/TransferPatience.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/TransferPatience.kt
@@ -11,12 +11,15 @@
     public val pause: Duration = 250.milliseconds,
     /** How long an answer may take in all, so that a peer that sends without end is left. */
     public val longest: Duration = 5.seconds,
+    /** A check that is later than this shows that the process was held up, so that an answer may have arrived and not been read. */
+    public val maximumLateness: Duration = 50.milliseconds,
 )
 
 /**
  * Decides how long to wait for one answer: up to [timeout] for it to begin, and then as long as more of it arrives.
  *
- * Addresses slow and full links, on which an answer that is given up while it arrives has cost its bytes and brings nothing. Not thread-safe.
+ * Addresses slow and full links, on which an answer that is given up while it arrives has cost its bytes and brings nothing, and processes that
+ * are held up: they get the time to read what has arrived, once for each answer. Not thread-safe.
  */
 public class TransferPatience(
     private val timeout: Duration,
@@ -25,6 +28,7 @@
 ) {
     private var bytes = 0L
     private var checkAt = startedAt + timeout
+    private var wasLate = false
 
     /** Returns how much longer to wait at [now] when [receivedBytes] of the answer have arrived; zero to give it up. */
     public fun waitAt(
@@ -33,7 +37,9 @@
     ): Duration {
         if (now < checkAt) return checkAt - now
         val end = startedAt + maxOf(timeout, settings.longest)
-        if (receivedBytes <= bytes || now >= end) return Duration.ZERO
+        val isLate = now - checkAt > settings.maximumLateness && !wasLate
+        wasLate = wasLate || isLate
+        if ((receivedBytes <= bytes && !isLate) || now >= end) return Duration.ZERO
         bytes = receivedBytes
         checkAt = minOf(now + settings.pause, end)
         return checkAt - now
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/TransferPatienceTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/TransferPatienceTest.kt
@@ -36,6 +36,29 @@
         }
     }
 
+    /** Guards against answers that are given up although they arrived while the process was held up. */
+    @Test
+    fun aProcessThatWasHeldUpGetsTheTimeToReadWhatHasArrived() {
+        data class Held(
+            val name: String,
+            val checksAt: List<Int>,
+            val expected: List<Int>,
+        )
+        val cases =
+            listOf(
+                Held("on time", listOf(800), listOf(0)),
+                Held("a little late", listOf(840), listOf(0)),
+                Held("held up at the end", listOf(1_100), listOf(250)),
+                Held("held up twice", listOf(1_100, 1_600), listOf(250, 0)),
+                Held("held up beyond the longest time", listOf(6_000), listOf(0)),
+            )
+        for (case in cases) {
+            val patience = TransferPatience(800.milliseconds, Moment(0))
+            val waits = case.checksAt.map { patience.waitAt(Moment(0) + it.milliseconds, receivedBytes = 0) }
+            assertEquals(case.expected.map { it.milliseconds }, waits, case.name)
+        }
+    }
+
     private fun bytesUntil(
         case: Case,
         milliseconds: Int,
