Do not take a large answer on a slow link for a slow platform

Callers got 404 by an old version (CONFIG). A complete read that took more than 0.4 s was taken for a sign that watches would not be answered, so another complete read followed, which takes as long again: the whole document once more. What counts now is when the answer began to arrive. aDocumentThatTakesLongOnTheLinkIsNotTakenForASlowPlatform states the cases; those with a late end and an early begin led to a complete read before.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/WatchSchedule.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/WatchSchedule.kt
@@ -68,7 +68,7 @@
         }
 
     /**
-     * Records the answer to [read], which was sent at [sentAt] and answered at [now].
+     * Records the answer to [read], which was sent at [sentAt], whose answer began to arrive at [begunAt] and was complete at [now].
      *
      * Returns the latest time at which the data is known to have been current. The platform can have taken an answer with changes as soon
      * as the read was sent, but ends a watch without changes only after its wait.
@@ -78,13 +78,14 @@
         hasChanges: Boolean,
         sentAt: Moment,
         now: Moment,
+        begunAt: Moment = now,
     ): Moment {
         needsCompleteRead = false
         backoff.succeeded()
         if (read is SourceRead.Watch) failedWatches = 0
         if (completeReadsLeft > 0) completeReadsLeft--
-        // A watch without changes would be answered after its timeout.
-        if (now - sentAt > settings.margin && read is SourceRead.Complete) completeReadsLeft = maxOf(completeReadsLeft, 1)
+        // A watch without changes would be answered after its timeout. A large answer on a slow link does not show that.
+        if (begunAt - sentAt > settings.margin && read is SourceRead.Complete) completeReadsLeft = maxOf(completeReadsLeft, 1)
         return when (read) {
             is SourceRead.Complete -> sentAt
             is SourceRead.Watch -> if (!hasChanges && now - sentAt >= read.wait) sentAt + read.wait else sentAt
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/WatchScheduleTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/WatchScheduleTest.kt
@@ -86,6 +86,30 @@
         }
     }
 
+    /** Guards against readers on slow links that read the whole document again and again. */
+    @Test
+    fun aDocumentThatTakesLongOnTheLinkIsNotTakenForASlowPlatform() {
+        data class Case(
+            val begunAt: Duration,
+            val endedAt: Duration,
+            val next: SourceRead,
+        )
+        val cases =
+            listOf(
+                Case(5.milliseconds, 20.milliseconds, watch),
+                Case(5.milliseconds, 900.milliseconds, watch),
+                Case(390.milliseconds, 3.seconds, watch),
+                Case(500.milliseconds, 520.milliseconds, complete),
+            )
+        for (case in cases) {
+            val schedule = WatchSchedule()
+            val read = schedule.next(StorePosition(0, 7))
+            val confirmedAt = schedule.answered(read, hasChanges = true, start, start + case.endedAt, start + case.begunAt)
+            assertEquals(start, confirmedAt, "$case")
+            assertEquals(case.next, schedule.next(StorePosition(0, 7)), "$case")
+        }
+    }
+
     private fun apply(
         schedule: WatchSchedule,
         event: Event,
--- a/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/HttpConnectionPool.kt
@@ -96,7 +96,7 @@
                 return ExchangeResult.NotConnected(describe(error), isRefused = false)
             }
         progress?.begin(stream)
-        return exchange(stream, request, ownerOf)
+        return exchange(stream, request, progress, ownerOf)
     }
 
     /** Returns whether the server accepts new connections: false only when it refuses one, true on other failures such as a timeout. */
@@ -120,6 +120,7 @@
     private suspend fun exchange(
         stream: HttpStream,
         request: HttpRequest,
+        received: ReceiveProgress?,
         ownerOf: (ResponseHead) -> ResponseOwner,
     ): ExchangeResult {
         var isReturned = false
@@ -127,6 +128,7 @@
         try {
             HttpWriter.encode(request).forEach { stream.write(it) }
             val head = readFinalHead(stream, request.method, ownerOf, progress)
+            received?.recordHead()
             val framing = head.framing(request.method)
             val body = stream.readBody(framing, limits.maximumBodyBytes)
             val isReusable = head.isKeepAlive && framing != BodyFraming.UntilClose && progress.isMatched && stream.isIdle
--- a/node/src/main/kotlin/org/celeryusher/node/http/ReceiveProgress.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/http/ReceiveProgress.kt
@@ -24,11 +24,22 @@
     /** The earliest time at which the last of these bytes can have arrived, or null before the first. */
     val receivedSince: Moment? get() = response?.takeIf { it.stream.receivedBytes > it.bytesBefore }?.stream?.receivedSince
 
+    /** The earliest time at which the head of the latest response can have arrived, or null before the first. */
+    @Volatile
+    var headAt: Moment? = null
+        private set
+
     /** Counts what arrives on [stream] from now on. */
     fun begin(stream: HttpStream) {
+        headAt = null
         response = Response(stream, stream.receivedBytes)
     }
 
+    /** Records that the head of the response has arrived. */
+    fun recordHead() {
+        headAt = response?.stream?.receivedSince
+    }
+
     /** Records that the response was received or given up. */
     fun end() {
         response = null
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -298,7 +298,7 @@
         position = reached
         answeredAt = now
         val hasChanges = data.configuration != null || data.evacuations.isNotEmpty()
-        confirmedAt = schedule.answered(read, hasChanges, sentAt, now)
+        confirmedAt = schedule.answered(read, hasChanges, sentAt, now, begunAt = progress.headAt ?: now)
     }
 
     /** Returns whether the offered version, or a later one, is in force. [changes] have led to it from the one in force before, if any. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ServerListWatcher.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.source
 
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.distribution.SourceRead
 import org.celeryusher.kernel.distribution.WatchSchedule
@@ -18,6 +19,7 @@
 import org.celeryusher.kernel.membership.ServerListChanges
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.call.SourceRelay
+import org.celeryusher.node.http.ReceiveProgress
 import org.celeryusher.node.log.DecisionLog
 import org.celeryusher.node.runtime.ProcessClock
 import org.celeryusher.node.runtime.RoutingState
@@ -38,6 +40,7 @@
 ) {
     private val directory = ServerDirectory()
     private val schedule = WatchSchedule()
+    private val progress = ReceiveProgress()
     private val readRequests = Channel<Unit>(Channel.CONFLATED)
     private var isSourceLost = false
 
@@ -83,7 +86,7 @@
             if (mustReadCompletely) schedule.readCompletely()
             mustReadCompletely = false
             val read = schedule.next(directory.position)
-            val pause = handle(read, reader.readServers(read), sentAt)
+            val pause = handle(read, withContext(progress) { reader.readServers(read) }, sentAt)
             if (pause != Duration.ZERO) return pause
         }
     }
@@ -181,7 +184,7 @@
     ) {
         recordAnswer(reached, "the platform answers", now)
         source = "the platform"
-        confirmedAt = schedule.answered(read, reading.value.isNotEmpty(), sentAt, now)
+        confirmedAt = schedule.answered(read, reading.value.isNotEmpty(), sentAt, now, begunAt = progress.headAt ?: now)
         when (read) {
             is SourceRead.Complete -> {
                 directory.replaceAll(reading.value.filterIsInstance<ServerListChange.Written>(), reached, now)
