Read the configuration in each turn of a node that reads the platform

Found in a review of the late configurations. A turn ends after 0.4 s and a watch of the configuration after 0.4 s and its way, so that the next one began only a turn later: changes were seen up to 0.4 s late, and the age of what a sound reader has rose to 0.8 s, near the 1.0 s from which on its followers leave it. A read that had ended after the last turn, maybe long ago, was also taken for that of the present one, so that a node that fell back to the platform read only the list. A turn now waits 50 ms longer for the read, and takes over from earlier turns only what is still under way, or has just failed.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceScheduleSettings.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/SourceScheduleSettings.kt
@@ -13,6 +13,8 @@
      * more, well within half of the two seconds in which all must know that a server leaves.
      */
     public val readInterval: Duration = 400.milliseconds,
+    /** How much longer than [readInterval] a read of the list waits for the one of the configuration beside it, which takes about as long. */
+    public val readOverlap: Duration = 50.milliseconds,
     /** The minimum time between an answered query and the next one, so that changes in quick succession arrive together. */
     public val queryInterval: Duration = 200.milliseconds,
     /** The number of nodes that read the platform continuously. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.celeryusher.kernel.distribution.EvacuationCheck
 import org.celeryusher.kernel.distribution.SourceChoice
 import org.celeryusher.kernel.distribution.SourceMode
@@ -68,6 +69,7 @@
         private set
 
     private var pendingConfigurationRead: Deferred<Duration?>? = null
+    private var turnEndedAt = Moment.DISTANT_PAST
 
     /** What is being read now. */
     @Volatile
@@ -134,17 +136,20 @@
     private suspend fun readPlatform(scope: CoroutineScope) {
         logSource("the platform")
         val startedAt = clock.now()
-        val configurationRead = pendingConfigurationRead ?: scope.async { configuration.readPlatform() }
+        val configurationRead = pendingReadAt(startedAt) ?: scope.async { configuration.readPlatform() }
         pendingConfigurationRead = configurationRead
         checkEvacuations(startedAt, scope)
         val listPause = servers.readPlatform()
         if (configuration.isWithheld && servers.revision != null) learnFromOthers()
         if (listPause == null) servers.waitUntil(startedAt + settings.readInterval)
+        // A watch that ends just after the turn would leave the configuration unread until the end of the next one.
+        withTimeoutOrNull(settings.readOverlap) { configurationRead.join() }
         var configurationPause: Duration? = null
         if (configurationRead.isCompleted) {
             configurationPause = configurationRead.await()
             pendingConfigurationRead = null
         }
+        turnEndedAt = clock.now()
         val pause = listOfNotNull(listPause, configurationPause).maxOrNull()
         wasAnswered = pause == null
         if (wasAnswered) informedAt = clock.now()
@@ -155,6 +160,12 @@
         }
     }
 
+    /** Returns the read that an earlier turn has left, unless it has ended: then it says nothing about the platform now, but for a recent failure. */
+    private suspend fun pendingReadAt(now: Moment): Deferred<Duration?>? {
+        val pending = pendingConfigurationRead ?: return null
+        return pending.takeIf { it.isActive || (now - turnEndedAt < settings.readInterval && it.await() != null) }
+    }
+
     /** Takes over what other nodes know before this one, which has just started, serves by what a store lists that has lost changes. */
     private suspend fun learnFromOthers(): Unit =
         coroutineScope {
