Confirm a version only by a peer that has nothing newer than what is in force

Found in a review of the late configurations. While a document was being transferred, queries stated its version in place of the one in force, so an answer without news said only that there was nothing newer than what was on its way. If the transfer had ended without a result by then, the old version counted as confirmed just now, here and at all nodes that ask this one. Changes that led to the version were not sent either. Queries now state the version in force, and beside it the one on its way: only changes to it, or a later version, are news, and an answer always states the newest version beyond the one in force. aTransferHidesNoVersionThatIsNotInForceAtTheAsker fails without the change: a query in the old form gets no newest version.

--- a/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/Frame.kt
@@ -167,6 +167,8 @@
         @SerialName("k") public val held: ConfigurationDigest? = null,
         /** Whether the sender asks for the whole configuration and for nothing else. */
         @SerialName("d") public val wantsDocument: Boolean = false,
+        /** The version that is being transferred to the sender, so that only changes to it, or a later version, are news. */
+        @SerialName("t") public val awaited: Long? = null,
     ) : Frame {
         /** Returns this query with the number [exchange]. */
         public fun withExchange(exchange: Long): SourceQuery =
@@ -181,6 +183,7 @@
                 acceptsOldData,
                 held,
                 wantsDocument,
+                awaited,
             )
     }
 
--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -172,7 +172,13 @@
     private fun hasNews(
         cursor: Long?,
         query: Frame.SourceQuery,
-    ): Boolean = cursor == null || journal.latest != cursor || newerThan(query.version) != null || hasEvacuationsFor(query)
+    ): Boolean = cursor == null || journal.latest != cursor || hasVersionFor(query) || hasEvacuationsFor(query)
+
+    private fun hasVersionFor(query: Frame.SourceQuery): Boolean {
+        val newest = newerThan(query.version) ?: return false
+        val awaited = query.awaited ?: return true
+        return newest.digest.version > awaited || answerOf(query, newest) is ConfigurationAnswer.Changes
+    }
 
     private fun hasEvacuationsFor(query: Frame.SourceQuery): Boolean {
         val known = query.evacuationsChangedAt ?: return false
--- a/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/SourceFollower.kt
@@ -213,13 +213,13 @@
                 0,
                 known?.processStart,
                 known?.number,
-                // A version that is being transferred is no news.
-                listOfNotNull(configuration.version, documents.awaitedVersion).maxOrNull(),
+                configuration.version,
                 choice.wait.inWholeMilliseconds,
                 evacuations.changedAt,
                 own.takeIf { synchronized(schedule) { schedule.offersData(sentAt) } },
                 choice.acceptsOldData,
                 configuration.digest,
+                awaited = documents.awaitedVersion,
             )
         when (val reply = peers.query(peer.frameAddress, query, choice.timeout)) {
             is SourceReply.Answered -> {
@@ -288,7 +288,8 @@
         scope: CoroutineScope,
     ): Boolean {
         update.configuration?.let { return configuration.offerRelayed(it, peer.instance) }
-        val newest = update.newest ?: return documents.awaitedVersion == null
+        // The peer has nothing newer than what was in force here when it was asked, whatever is being transferred.
+        val newest = update.newest ?: return true
         configuration.heard(newest.version)
         if (update.changes?.let { configuration.applyChanges(it, peer.instance) } == true) return true
         documents.fetchIfNewer(newest, peer, scope)
--- a/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
+++ b/node/src/test/kotlin/org/celeryusher/node/call/SourceRelayTest.kt
@@ -64,8 +64,8 @@
     /** Guards against fields of a query that are lost when it is sent, such as the evacuations that the sender knows. */
     @Test
     fun aQueryKeepsAllFieldsWhenItIsNumbered() {
-        val query = Frame.SourceQuery(0, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true)
-        val expected = Frame.SourceQuery(9, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true)
+        val query = Frame.SourceQuery(0, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true, 9)
+        val expected = Frame.SourceQuery(9, 2, 3, 4, 5, 6, InstanceName("i"), acceptsOldData = true, ConfigurationDigest(7, 8), true, 9)
         assertContentEquals(FrameCodec.encode(expected), FrameCodec.encode(query.withExchange(9)))
     }
 
@@ -134,6 +134,46 @@
         assertEquals(2, relay.counts.sentOf(TransferForm.DOCUMENT))
     }
 
+    /** Guards against an old version that is taken for the newest one because a newer one is being transferred. */
+    @Test
+    fun aTransferHidesNoVersionThatIsNotInForceAtTheAsker() {
+        data class Case(
+            val held: Long,
+            val awaited: Long?,
+            val isHeldBack: Boolean,
+            val newest: Long?,
+            val changes: Int?,
+        )
+        val cases =
+            listOf(
+                Case(held = 12, awaited = null, isHeldBack = true, newest = null, changes = null),
+                Case(held = 10, awaited = null, isHeldBack = false, newest = 12, changes = 1),
+                Case(held = 7, awaited = null, isHeldBack = false, newest = 12, changes = null),
+                Case(held = 7, awaited = 11, isHeldBack = false, newest = 12, changes = null),
+                Case(held = 7, awaited = 12, isHeldBack = true, newest = 12, changes = null),
+                Case(held = 10, awaited = 12, isHeldBack = false, newest = 12, changes = 1),
+            )
+        val digests = List(13) { ConfigurationDigest(it.toLong(), it * 10L) }
+        for (case in cases) {
+            val relay = SourceRelay { now }
+            relay.updateConfiguration(digests[10], ByteArray(100))
+            relay.updateConfiguration(digests[12], ByteArray(100), listOf(ConfigurationChange(digests[10], digests[12], ByteArray(10))))
+            relay.listConfirmed(now)
+            relay.configurationConfirmed(now)
+            val held = digests[case.held.toInt()]
+            val query = Frame.SourceQuery(1, 1, cursor = 0, case.held, waitMilliseconds = 200, held = held, awaited = case.awaited)
+            val update =
+                runBlocking {
+                    val answer = async { relay.answer(query, processStart = 1) { Uptime(0) } }
+                    delay(100.milliseconds)
+                    assertEquals(case.isHeldBack, answer.isActive, "$case")
+                    answer.await()
+                }
+            assertEquals(case.newest, update.newest?.version, "$case")
+            assertEquals(case.changes, update.changes?.size, "$case")
+        }
+    }
+
     /** Guards against lists that wait for their turn on a slow link, and against damaged ones. */
     @Test
     fun aCompleteListIsSmallForANodeThatTakesItCompressed() {
