Bound the age of the configuration at the decision, not only on its way

ConfigurationLimit now decides what may be decided by a configuration whose confirmation is older than the bound that the deployment states: a node that knows of a newer version, has one arriving, or was paused and has not been answered since, refuses work as not run, with a time to come back, and is not ready; any other one, which cannot tell itself from a fleet whose platform is away, serves the routes that it knows, but does not state that there is no route. A configuration that was confirmed within the bound cannot break it, since a version acknowledged before the confirmation would be in force.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/error/ErrorKind.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/error/ErrorKind.kt
@@ -37,6 +37,7 @@
     ),
     TICKET_EXPIRED(410, NOT_RUN, NOW, "The ticket expired before its work was sent; take a new one."),
     NO_CONFIGURATION(503, NOT_RUN, LATER, "This node holds no accepted configuration yet."),
+    CONFIGURATION_OLD(503, NOT_RUN, LATER, "This node has not confirmed its configuration for too long to decide by it."),
     NO_ENDPOINT(503, NOT_RUN, LATER, "No live backend server provides the route's service."),
     EVACUATED(503, NOT_RUN, LATER, "The backend servers that may run the work are all in evacuated data centres."),
     REGION_NOT_SERVED(503, NOT_RUN, LATER, "No backend server of the route's service is in a region that the route allows."),
--- a/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/AdminPages.kt
@@ -68,7 +68,7 @@
     }
 
     private fun readyPage(): AdminPage =
-        when (val reason = reporter.notReadyReason()) {
+        when (val reason = reporter.notReadyReason(clock.now())) {
             null -> AdminPage.Content(PLAIN_TYPE, "ready\n")
             else -> AdminPage.Failed(reason.kind, "${place.instance}")
         }
--- a/node/src/main/kotlin/org/celeryusher/node/admin/NotReadyReason.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/NotReadyReason.kt
@@ -11,4 +11,7 @@
 
     /** No configuration is in force yet. */
     NO_CONFIGURATION(ErrorKind.NO_CONFIGURATION),
+
+    /** The configuration in force is older than that of others in the fleet, or likely to be. */
+    CONFIGURATION_OLD(ErrorKind.CONFIGURATION_OLD),
 }
--- a/node/src/main/kotlin/org/celeryusher/node/admin/StatusProviders.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/StatusProviders.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.json.JsonElement
 import org.celeryusher.kernel.admission.GuardLoad
+import org.celeryusher.kernel.distribution.ConfigurationUse
 import org.celeryusher.kernel.time.Moment
 import org.celeryusher.node.control.ControlStatus
 
@@ -16,6 +17,7 @@
     internal val control: ((Moment) -> ControlStatus)?,
     internal val guardLoad: ((Moment) -> GuardLoad)?,
     internal val stopping: () -> Boolean,
+    internal val configurationUse: (Moment) -> ConfigurationUse,
     internal val sections: Map<String, StatusSection>,
 )
 
@@ -24,6 +26,7 @@
     private var control: ((Moment) -> ControlStatus)? = null
     private var guardLoad: ((Moment) -> GuardLoad)? = null
     private var stopping: () -> Boolean = { false }
+    private var configurationUse: (Moment) -> ConfigurationUse = { ConfigurationUse.Full }
     private val sections = mutableMapOf<String, StatusSection>()
 
     /** Provides the state of the control plane: the version in force, its source, refused versions and members. */
@@ -41,6 +44,11 @@
         stopping = read
     }
 
+    /** Provides what the node may decide by its configuration. Without this provider it may decide everything. */
+    public fun configurationUse(read: (Moment) -> ConfigurationUse) {
+        configurationUse = read
+    }
+
     /** Adds [section] to the status under [name], which must be unique. */
     public fun section(
         name: String,
@@ -49,7 +57,7 @@
         require(sections.put(name, section) == null) { "the status section \"$name\" is registered twice" }
     }
 
-    internal fun build(): StatusProviders = StatusProviders(control, guardLoad, stopping, sections)
+    internal fun build(): StatusProviders = StatusProviders(control, guardLoad, stopping, configurationUse, sections)
 }
 
 /** Returns the providers that [build] sets. */
--- a/node/src/main/kotlin/org/celeryusher/node/admin/StatusReporter.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/admin/StatusReporter.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.admin
 
 import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.distribution.ConfigurationUse
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.identity.RouteName
 import org.celeryusher.kernel.membership.MemberState
@@ -20,11 +21,12 @@
     private val decisions: DecisionLog,
     private val providers: StatusProviders,
 ) {
-    /** Returns why the node is not ready for calls, or null when it is ready. */
-    public fun notReadyReason(): NotReadyReason? =
+    /** Returns why the node is not ready for calls at [now], or null when it is ready. */
+    public fun notReadyReason(now: Moment): NotReadyReason? =
         when {
             providers.stopping() -> NotReadyReason.STOPPING
             routing.current.snapshot == null -> NotReadyReason.NO_CONFIGURATION
+            providers.configurationUse(now) is ConfigurationUse.None -> NotReadyReason.CONFIGURATION_OLD
             else -> null
         }
 
@@ -44,7 +46,7 @@
             dataCentre = place.dataCentre,
             incarnation = incarnation(),
             upMilliseconds = (now - started).inWholeMilliseconds,
-            notReady = notReadyReason()?.kind?.meaning,
+            notReady = notReadyReason(now)?.kind?.meaning,
             version = snapshot?.digest?.version,
             control = providers.control?.let { withoutLiveMembers(it(now)) },
             routes = RouteStatus.of(current.table),
--- a/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/CallProxy.kt
@@ -3,6 +3,8 @@
 import org.celeryusher.kernel.admission.CallOrigin
 import org.celeryusher.kernel.admission.RunDecision
 import org.celeryusher.kernel.configuration.ConfigurationSnapshot
+import org.celeryusher.kernel.distribution.ConfigurationRecency
+import org.celeryusher.kernel.distribution.ConfigurationUse
 import org.celeryusher.kernel.error.ErrorKind
 import org.celeryusher.kernel.error.Resend
 import org.celeryusher.kernel.error.RunStatus
@@ -65,9 +67,12 @@
         knowledge.awaitRefresh()
         val current = routing.current
         val table = current.table ?: return failUnrouted(request, ErrorKind.NO_CONFIGURATION)
+        val recency = knowledge.configurationRecency(clock.now())
+        val use = knowledge.useOf(recency)
+        if (use is ConfigurationUse.None) return failOld(request, use.reason.name, recency)
         val route = table.match(request.method, request.path, request.hostName)
         return when (val drawn = if (route is SplitRoute) route.draw(random) else route) {
-            null -> failUnrouted(request, ErrorKind.NO_ROUTE, "${request.method} ${request.host}${request.path}")
+            null -> if (use is ConfigurationUse.Full) failNoRoute(request, recency) else failOld(request, "no known route", recency)
             is HeldRoute -> {
                 if (drawn.cause == HeldCause.NO_SERVER) {
                     runs.recordUnreachable(drawn.target, statedDeadline(request), clock.now())
@@ -256,15 +261,32 @@
 
     private fun malformedDeadline(text: String): String = "${headers.deadline}: \"$text\" is not a whole number of milliseconds"
 
+    private fun failNoRoute(
+        request: CallRequest,
+        recency: ConfigurationRecency?,
+    ): ProxyResult =
+        failUnrouted(request, ErrorKind.NO_ROUTE, "${request.method} ${request.host}${request.path}", retryAfter = null, recency)
+
+    private fun failOld(
+        request: CallRequest,
+        reason: String,
+        recency: ConfigurationRecency?,
+    ): ProxyResult {
+        // The work of a ticket may have run before, so its refusal must not state that it has not.
+        val hasTicket = request.header(CeleryusherHeaders.TICKET) != null
+        val kind = if (hasTicket) ErrorKind.TICKET_OWNER_UNREACHABLE else ErrorKind.CONFIGURATION_OLD
+        return failUnrouted(request, kind, reason, OLD_RETRY_AFTER, recency)
+    }
+
     private fun failUnrouted(
         request: CallRequest,
         kind: ErrorKind,
         detail: String = "",
         retryAfter: Duration? = null,
+        recency: ConfigurationRecency? = null,
     ): ProxyResult {
         metrics.recordUnroutedCall(kind)
         return ProxyResult(CallResult.Failed(kind, detail, retryAfter)).also {
-            val recency = if (kind == ErrorKind.NO_ROUTE) knowledge.configurationRecency(clock.now()) else null
             log.callAnswered(request, it.result, route = null, routing.current.snapshot, recency)
         }
     }
@@ -277,5 +299,8 @@
     private companion object {
         /** The time after which a caller may try a held route again. An evacuation lasts longer than any call; its end is not foreseeable. */
         val HELD_RETRY_AFTER = 1.seconds
+
+        /** The time after which a node that hears the fleet again has usually confirmed its configuration. */
+        val OLD_RETRY_AFTER = 500.milliseconds
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/call/FleetKnowledge.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/FleetKnowledge.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.node.call
 
 import org.celeryusher.kernel.distribution.ConfigurationRecency
+import org.celeryusher.kernel.distribution.ConfigurationUse
 import org.celeryusher.kernel.time.Moment
 
 /** How recent what this node decides by is. */
@@ -10,4 +11,7 @@
 
     /** Returns how recent the configuration in force is at [now], or null where nothing states whether it is the newest one. */
     fun configurationRecency(now: Moment): ConfigurationRecency?
+
+    /** Returns what may be decided by a configuration of this [recency]. */
+    fun useOf(recency: ConfigurationRecency?): ConfigurationUse
 }
--- a/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/runtime/Node.kt
@@ -13,7 +13,9 @@
 import org.celeryusher.kernel.admission.CallerPort
 import org.celeryusher.kernel.configuration.CallerLimits
 import org.celeryusher.kernel.configuration.FleetPlace
+import org.celeryusher.kernel.distribution.ConfigurationLimit
 import org.celeryusher.kernel.distribution.ConfigurationRecency
+import org.celeryusher.kernel.distribution.ConfigurationUse
 import org.celeryusher.kernel.identity.Incarnation
 import org.celeryusher.kernel.shutdown.StopPhase
 import org.celeryusher.kernel.shutdown.StopSchedule
@@ -81,11 +83,14 @@
     private val callerLimits = settings.callerBudget.limitsOn(settings.machine, resources.network.memory.budget.capacity)
     private val callerReports = CallerReports(metrics.callers, decisions, clock)
     private val ledger = CallerLedger(resources.network.memory, callerLimits, clock, callerReports)
+    private val configurationLimit = ConfigurationLimit(settings.bounds.configurationApply ?: ConfigurationLimit.DEFAULT_LIMIT)
     private val knowledge =
         object : FleetKnowledge {
             override suspend fun awaitRefresh(): Unit = awaitFreshView()
 
             override fun configurationRecency(now: Moment): ConfigurationRecency? = control.configurationRecency(now)
+
+            override fun useOf(recency: ConfigurationRecency?): ConfigurationUse = configurationLimit.useOf(recency)
         }
     private val dataPlane: DataPlane =
         DataPlane(
@@ -118,6 +123,7 @@
             section("cold") { dataPlane.cold.describe() }
             section("pace") { dataPlane.pace.describe() }
             stopping { isStopping }
+            configurationUse { now -> configurationLimit.useOf(control.configurationRecency(now)) }
             section("hedging") { HedgeStatus.describe(dataPlane.hedgeSummaries, metrics.hedges) }
             section("callers") { callerReports.describe(ledger.usage, callerLimits) }
             resources.network.linkStatus?.let { limited ->
--- a/node/src/main/kotlin/org/celeryusher/node/settings/DeploymentBounds.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/settings/DeploymentBounds.kt
@@ -29,6 +29,9 @@
     /** The calls a second that a cold server may get at most beyond [coldOverage], such as `8`. */
     @Serializable(with = StatedNumberSerializer::class)
     public val coldReserve: Double? = null,
+    /** The time within which a published configuration must be in force at every node, such as `2500ms`. */
+    @Serializable(with = StatedDurationSerializer::class)
+    public val configurationApply: Duration? = null,
 ) {
     internal companion object {
         /** How each bound is read, by its name. */
@@ -40,6 +43,7 @@
                 "grace" to StatedDurationSerializer,
                 "coldOverage" to StatedNumberSerializer,
                 "coldReserve" to StatedNumberSerializer,
+                "configurationApply" to StatedDurationSerializer,
             )
     }
 }
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -57,6 +57,10 @@
         relay.configurationHeardAt = ::heardAt
     }
 
+    /** Whether the read that is under way is answered with changes only. */
+    @Volatile
+    private var isWatching = false
+
     private var isSourceLost = false
     private var position = StorePosition.START
     private val application = ChangeApplication(VcdiffDelta, MAXIMUM_BYTES)
@@ -114,13 +118,17 @@
     @Synchronized
     fun heard(version: Long) {
         lag.heard(version, clock.now())
-        behindSince = lag.behindSince
+        heardNewerAt = lag.behindSince
     }
 
-    /** Since when a newer version has been known that is not in force, or null if none is known. */
     @Volatile
-    var behindSince: Moment? = null
-        private set
+    private var heardNewerAt: Moment? = null
+
+    /** The answer of a watch that is so large has a new version in it. */
+    private val arrivingSince: Moment? get() = progress.headAt?.takeIf { isWatching && progress.bytes > LARGE_ANSWER_BYTES }
+
+    /** Since when a newer version has been known that is not in force, or null if none is known. */
+    val behindSince: Moment? get() = heardNewerAt ?: arrivingSince
 
     /** Returns how far this node is behind the newest version that it has heard of, for the status page. */
     @Synchronized
@@ -225,6 +233,7 @@
             if (mustReadCompletely) schedule.readCompletely()
             mustReadCompletely = false
             val read = schedule.next(position)
+            isWatching = read is SourceRead.Watch
             val reading =
                 try {
                     withContext(progress) { reader.readOperatorData(read) }
@@ -318,7 +327,7 @@
             is OfferDecision.InForce -> {
                 routing.putInForce(decision.held.snapshot)
                 lag.putInForce(snapshot.digest.version, now)
-                behindSince = lag.behindSince
+                heardNewerAt = lag.behindSince
                 decisions.record(
                     "configuration",
                     "in force ${snapshot.digest.version}",
@@ -367,5 +376,8 @@
     private companion object {
         /** Limits the size of a relayed configuration; the platform's largest value has one megabyte. */
         const val MAXIMUM_BYTES = 16 * 1_024 * 1_024
+
+        /** More than requests for evacuations take. */
+        const val LARGE_ANSWER_BYTES = 16_384
     }
 }
