Read one document, not every version, when a node begins to read the platform

Callers got 404 by an old version (CONFIG). The list of servers forgets its position when another node has brought it up to date; the configuration now does as well, so that the first read is a complete one.

--- a/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/WatchSchedule.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/distribution/WatchSchedule.kt
@@ -70,6 +70,9 @@
     /**
      * Records the answer to [read], which was sent at [sentAt], whose answer began to arrive at [begunAt] and was complete at [now].
      *
+     * [superseded] is the number of values in the answer that later ones in it replace. Where changes follow each other that fast, a complete read, which
+     * returns the latest value only, takes less time on a slow link than a watch.
+     *
      * Returns the latest time at which the data is known to have been current. The platform can have taken an answer with changes as soon
      * as the read was sent, but ends a watch without changes only after its wait.
      */
@@ -79,6 +82,7 @@
         sentAt: Moment,
         now: Moment,
         begunAt: Moment = now,
+        superseded: Int = 0,
     ): Moment {
         needsCompleteRead = false
         backoff.succeeded()
@@ -86,6 +90,7 @@
         if (completeReadsLeft > 0) completeReadsLeft--
         // A watch without changes would be answered after its timeout. A large answer on a slow link does not show that.
         if (begunAt - sentAt > settings.margin && read is SourceRead.Complete) completeReadsLeft = maxOf(completeReadsLeft, 1)
+        if (superseded > 0) completeReadsLeft = maxOf(completeReadsLeft, 1)
         return when (read) {
             is SourceRead.Complete -> sentAt
             is SourceRead.Watch -> if (!hasChanges && now - sentAt >= read.wait) sentAt + read.wait else sentAt
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/WatchScheduleTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/WatchScheduleTest.kt
@@ -110,6 +110,21 @@
         }
     }
 
+    /** Guards against readers on slow links that get every version of a storm as a whole document. */
+    @Test
+    fun aWatchThatReturnedSupersededValuesIsFollowedByACompleteRead() {
+        val cases = listOf(0 to watch, 1 to complete, 5 to complete)
+        for ((superseded, expected) in cases) {
+            val schedule = WatchSchedule()
+            schedule.answered(complete, hasChanges = true, start, start + 5.milliseconds)
+            val end = start + 300.milliseconds
+            schedule.answered(watch, hasChanges = true, start, end, begunAt = end, superseded)
+            assertEquals(expected, schedule.next(StorePosition(0, 7)), "$superseded superseded")
+            schedule.answered(complete, hasChanges = true, start, start + 5.milliseconds)
+            assertEquals(watch, schedule.next(StorePosition(0, 7)), "after a complete read")
+        }
+    }
+
     private fun apply(
         schedule: WatchSchedule,
         event: Event,
--- a/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/ConfigurationWatcher.kt
@@ -112,6 +112,8 @@
     /** Records that a peer had the newest configuration at the time [at]. */
     fun confirmed(at: Moment) {
         confirmedAt = at
+        // A watch from the position of this node would return every version since, each as a whole document.
+        mustReadCompletely = true
     }
 
     /** Records that another node has [version]. */
@@ -307,7 +309,7 @@
         position = reached
         answeredAt = now
         val hasChanges = data.configuration != null || data.evacuations.isNotEmpty()
-        confirmedAt = schedule.answered(read, hasChanges, sentAt, now, begunAt = progress.headAt ?: now)
+        confirmedAt = schedule.answered(read, hasChanges, sentAt, now, begunAt = progress.headAt ?: now, data.supersededConfigurations)
     }
 
     /** Returns whether the offered version, or a later one, is in force. [changes] have led to it from the one in force before, if any. */
--- a/node/src/main/kotlin/org/celeryusher/node/source/PlatformAdapter.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/PlatformAdapter.kt
@@ -66,6 +66,8 @@
     public val evacuations: List<EvacuationChange> = emptyList(),
     /** Whether a complete read listed every evacuation. Otherwise it withdraws none. */
     public val listsAllEvacuations: Boolean = true,
+    /** The number of configurations in the answer of a watch that are older than [configuration]. */
+    public val supersededConfigurations: Int = 0,
 )
 
 /** A configuration as the platform published it. */
