--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentValidator.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/DocumentValidator.kt
@@ -11,6 +11,9 @@
     private val rankNames = document.ranks?.mapNotNullTo(mutableSetOf()) { it.name }
     private val routeNames = document.routes?.mapNotNullTo(mutableSetOf()) { it.name }
 
+    /** The changes of settings without a fault. Most routes share a few, and converting one to pairs of name and value is slow. */
+    private val validChanges = HashSet<SettingsChange>()
+
     /** Reports every rule that the document violates. */
     fun validate() {
         checkVersion()
@@ -50,7 +53,7 @@
         if (entries.isEmpty() && list != "exceptions") faults.addVerbatim(JsonPath.ROOT.member(list), "[]", "must have at least one entry")
         val names = mutableSetOf<String>()
         for (entry in entries) {
-            entry.name?.let { checkName(entry.path.member("name"), it) }
+            entry.name?.let { checkName(entry.path, "name", it) }
             if (entry.name != null && !names.add(entry.name)) {
                 faults.add(entry.path.member("name"), entry.name, "is a duplicate name in ${JsonPath.ROOT.member(list)}")
             }
@@ -58,12 +61,18 @@
         }
     }
 
+    // The path of a member is built for a fault only: it takes longer than the check.
     private fun checkName(
-        path: JsonPath,
+        parent: JsonPath,
+        member: String,
         name: String,
     ) {
-        if (!NAME.matches(name)) {
-            faults.add(path, name, "must be 1 to 63 letters, digits, dots, underscores or hyphens, and start with a letter or digit")
+        if (!DocumentNames.isName(name)) {
+            faults.add(
+                parent.member(member),
+                name,
+                "must be 1 to 63 letters, digits, dots, underscores or hyphens, and start with a letter or digit",
+            )
         }
     }
 
@@ -114,22 +123,32 @@
         route: RouteDeclaration,
     ) {
         if (route.method !in METHODS) faults.add(path.member("method"), route.method, "must be one of ${METHODS.joinToString()}")
-        route.host?.let { if (!HOST.matches(it)) faults.add(path.member("host"), it, "must be a lower-case host name without a port") }
+        route.host
+            ?.takeUnless(DocumentNames::isHost)
+            ?.let { faults.add(path.member("host"), it, "must be a lower-case host name without a port") }
         prefixFault(route.pathPrefix)?.let { faults.add(path.member("pathPrefix"), route.pathPrefix, it) }
-        checkReference(path.member("service"), route.service.value, serviceNames, "service")
-        checkReference(path.member("rank"), route.rank.value, rankNames, "rank")
-        SettingLimits.check(SettingLimits.valuesOf(route.settings), path.member("settings"), faults)
-        checkSplit(path.member("split"), route)
-        route.allowedRegions.forEach { checkName(path.member("allowedRegions"), it.value) }
+        checkReference(path, route.service.value, serviceNames, "service")
+        checkReference(path, route.rank.value, rankNames, "rank")
+        checkSettings(path, route.settings)
+        if (route.split.isNotEmpty()) checkSplit(path.member("split"), route)
+        route.allowedRegions.forEach { checkName(path, "allowedRegions", it.value) }
+    }
+
+    private fun checkSettings(
+        path: JsonPath,
+        change: SettingsChange,
+    ) {
+        if (change in validChanges) return
+        val values = SettingLimits.valuesOf(change)
+        if (SettingLimits.isWithin(values)) validChanges += change else SettingLimits.check(values, path.member("settings"), faults)
     }
 
     private fun checkSplit(
         path: JsonPath,
         route: RouteDeclaration,
     ) {
-        if (route.split.isEmpty()) return
         route.split.forEachIndexed { index, share ->
-            checkReference(path.element(index).member("service"), share.service.value, serviceNames, "service")
+            checkReference(path.element(index), share.service.value, serviceNames, "service")
             if (share.weight < 0) faults.add(path.element(index).member("weight"), JsonPrimitive(share.weight), "must not be negative")
         }
         if (route.split.sumOf { it.weight.toLong() } == 0L) faults.addVerbatim(path, "0", "the weights must not all be 0")
@@ -148,8 +167,8 @@
     private fun prefixFault(prefix: String): String? =
         when {
             prefix.length > MAXIMUM_PREFIX_CHARACTERS -> "must be at most $MAXIMUM_PREFIX_CHARACTERS characters"
-            !PATH_PREFIX.matches(prefix) -> "must be / or a path such as /invoices/open, without a query or spaces"
-            prefix.split('/').any { it == "." || it == ".." } -> "must not contain the segments . or .."
+            !DocumentNames.isPathPrefix(prefix) -> "must be / or a path such as /invoices/open, without a query or spaces"
+            "/." in prefix && prefix.split('/').any { it == "." || it == ".." } -> "must not contain the segments . or .."
             prefix == NODE_PATH || prefix.startsWith("$NODE_PATH/") -> "must not start with $NODE_PATH, which is reserved for the nodes"
             else -> null
         }
@@ -204,19 +223,20 @@
                 "must set at least one of dataCentre, service, instance, route; for the whole fleet, change the defaults",
             )
         }
-        scope.dataCentre?.let { checkName(path.member("dataCentre"), it.value) }
-        scope.instance?.let { checkName(path.member("instance"), it.value) }
-        scope.service?.let { checkReference(path.member("service"), it.value, serviceNames, "service") }
-        scope.route?.let { checkReference(path.member("route"), it.value, routeNames, "route") }
+        scope.dataCentre?.let { checkName(path, "dataCentre", it.value) }
+        scope.instance?.let { checkName(path, "instance", it.value) }
+        scope.service?.let { checkReference(path, it.value, serviceNames, "service") }
+        scope.route?.let { checkReference(path, it.value, routeNames, "route") }
     }
 
+    /** Reports the member [kind] of the object at [parent] if the document does not declare [name]. */
     private fun checkReference(
-        path: JsonPath,
+        parent: JsonPath,
         name: String,
         declared: Set<String>?,
         kind: String,
     ) {
-        if (declared != null && name !in declared) faults.add(path, name, "is not a $kind declared in this document")
+        if (declared != null && name !in declared) faults.add(parent.member(kind), name, "is not a $kind declared in this document")
     }
 
     /** Reports settings that two exceptions with the same scope both set: their specificity is equal, so neither takes precedence. */
@@ -239,8 +259,5 @@
         const val MAXIMUM_REASON_CHARACTERS = 1_000
         const val NODE_PATH = "/-"
         val METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", RouteDeclaration.ANY_METHOD)
-        val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-        val PATH_PREFIX = Regex("/|(/[A-Za-z0-9._~%:@-]+)+/?")
-        val HOST = Regex("[a-z0-9]([a-z0-9._-]{0,251}[a-z0-9])?")
     }
 }
--- a/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/SettingLimits.kt
+++ b/kernel/src/main/kotlin/org/celeryusher/kernel/configuration/SettingLimits.kt
@@ -57,6 +57,9 @@
         }
     }
 
+    /** Returns whether all [values] are in range. */
+    fun isWithin(values: Map<String, JsonPrimitive>): Boolean = values.all { (name, value) -> RANGES[name]?.contains(value.double) ?: true }
+
     private fun primitives(values: JsonObject): Map<String, JsonPrimitive> = values.mapValues { (_, value) -> value.jsonPrimitive }
 
     private fun format(bound: Double): String = bound.toLong().toString()
