--- a/node/src/main/kotlin/org/celeryusher/node/source/VcdiffDelta.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/source/VcdiffDelta.kt
@@ -8,6 +8,7 @@
 import org.celeryusher.kernel.distribution.DeltaDecoder
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.io.OutputStream
 
 /** Encodes the difference between two configurations in the format of RFC 3284 (VCDIFF). */
 internal object VcdiffDelta : DeltaDecoder {
@@ -30,7 +31,7 @@
         delta: ByteArray,
         maximumBytes: Int,
     ): Either<String, ByteArray> {
-        val result = ByteArrayOutputStream(base.size + delta.size)
+        val result = UnsynchronizedOutput(base.size + delta.size)
         return try {
             VCDiffDecoderBuilder
                 .builder()
@@ -46,4 +47,33 @@
             "${error.javaClass.simpleName}: ${error.message}".left()
         }
     }
+
+    /** Collects the result, which the library writes byte by byte. A [ByteArrayOutputStream] locks for each byte. */
+    private class UnsynchronizedOutput(
+        capacity: Int,
+    ) : OutputStream() {
+        private var bytes = ByteArray(capacity)
+        private var size = 0
+
+        override fun write(byte: Int) {
+            if (size == bytes.size) grow(size + 1)
+            bytes[size++] = byte.toByte()
+        }
+
+        override fun write(
+            source: ByteArray,
+            offset: Int,
+            length: Int,
+        ) {
+            if (length > bytes.size - size) grow(size + length)
+            source.copyInto(bytes, size, offset, offset + length)
+            size += length
+        }
+
+        fun toByteArray(): ByteArray = bytes.copyOf(size)
+
+        private fun grow(needed: Int) {
+            bytes = bytes.copyOf(maxOf(needed, bytes.size * 2))
+        }
+    }
 }
