Add a failing test of readers on slow links

The replay gains links of different rates, calls that take a part of each link, and complete reads at the start of reading.

--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplay.kt
@@ -1,6 +1,7 @@
 package org.celeryusher.kernel.distribution
 
 import org.celeryusher.kernel.configuration.ConfigurationDigest
+import org.celeryusher.kernel.identity.InstanceName
 import org.celeryusher.kernel.membership.Member
 import org.celeryusher.kernel.membership.MembershipView
 import org.celeryusher.kernel.time.Moment
@@ -48,6 +49,9 @@
     val digest: ConfigurationDigest get() = digestOf(version)
     var confirmedAt = Moment(0)
 
+    /** When this node last read the platform, or null before the first time. */
+    var readAt: Moment? = null
+
     /** The queries of other nodes that are held until there is a newer version. */
     val held = ArrayList<() -> Unit>()
 
@@ -67,6 +71,12 @@
     private val documentBytes: Int,
     private val compressedBytes: Int,
     private val changeBytes: Int,
+    /** The rate of the links of some nodes, none of which is among the first in rendezvous order; null if all links are alike. */
+    fastMegabitsPerSecond: Double? = null,
+    /** Whether a node that begins to read the platform anew gets the whole document first, as nodes do. */
+    private val readsCompletely: Boolean = false,
+    /** The share of each link that calls leave free. */
+    freeShare: Double = 1.0,
 ) {
     private class Event(
         val at: Moment,
@@ -74,7 +84,13 @@
         val action: () -> Unit,
     )
 
-    private val nodes = members(size).map { ConvergenceNode(it, megabitsPerSecond) }
+    private val fleet = members(size)
+
+    /** All nodes in reader order. */
+    private val readers = RendezvousOrder.sorted("readers of the platform", fleet.map { it.instance })
+    private val fast = readers.filterIndexed { index, _ -> index % FAST_INTERVAL == FAST_INTERVAL - 1 }
+    private val nodes =
+        fleet.map { ConvergenceNode(it, freeShare * (fastMegabitsPerSecond?.takeIf { _ -> it.instance in fast } ?: megabitsPerSecond)) }
     private val byMember = nodes.associateBy { it.member }
     private val view = MembershipView(nodes.map { it.member })
     private val events = PriorityQueue(compareBy(Event::at, Event::number))
@@ -94,9 +110,6 @@
         private set
     private val firstInForceAt = HashMap<Long, Moment>()
 
-    /** All nodes in reader order. */
-    private val readers = RendezvousOrder.sorted("readers of the platform", nodes.map { it.member.instance })
-
     /** The greatest number of bytes that a node has sent to others a second, on average. */
     val highestBytesPerSecond: Double get() = nodes.maxOf { it.sentBytes } / (now - Moment(0)).toDouble(DurationUnit.SECONDS)
 
@@ -104,7 +117,24 @@
     fun killReader(
         position: Int,
         at: Duration,
-    ): Unit = schedule(Moment(0) + at) { nodes.single { it.member.instance == readers[position] }.isKilled = true }
+    ): Unit = schedule(Moment(0) + at) { kill(readers[position]) }
+
+    /** Kills the first node with a fast link at [at]. */
+    fun killFastReader(at: Duration): Unit = schedule(Moment(0) + at) { kill(fast.first()) }
+
+    private fun kill(instance: InstanceName) {
+        nodes.single { it.member.instance == instance }.isKilled = true
+    }
+
+    /** The greatest age of the data of a node that reads the platform, at the time at which the next answer has arrived. */
+    var oldestReaderData = Duration.ZERO
+        private set
+
+    /** The nodes that have read the platform in each second. */
+    private val readersInSecond = HashMap<Long, MutableSet<InstanceName>>()
+
+    /** Returns the greatest number of nodes that have read the platform within one second from [from] on. */
+    fun mostReaders(from: Duration): Int = readersInSecond.filterKeys { it >= from.inWholeSeconds }.values.maxOfOrNull { it.size } ?: 0
 
     /** The reads of the platform that have carried a document. */
     var documentReads = 0
@@ -155,11 +185,15 @@
     private fun readPlatform(node: ConvergenceNode) {
         val startedAt = now
         val version = published
-        val hasDocument = version > node.version
+        val isContinued = node.readAt?.let { startedAt - it <= SETTINGS.readingAfterQuery } == true
+        val hasDocument = version > node.version || (readsCompletely && startedAt > Moment(0) + START_TIME && !isContinued)
         if (hasDocument) documentReads++
+        readersInSecond.getOrPut((startedAt - Moment(0)).inWholeSeconds) { HashSet() } += node.member.instance
         val answeredAt = node.incoming.send(if (hasDocument) documentBytes else SMALL_BYTES, now + PLATFORM_TIME)
         schedule(answeredAt) {
             putInForce(node, version)
+            if (isContinued && !node.isKilled) oldestReaderData = maxOf(oldestReaderData, now - node.confirmedAt)
+            node.readAt = now
             node.confirmedAt = maxOf(node.confirmedAt, startedAt)
             node.schedule.platformAnswered(now)
             schedule(maxOf(now, startedAt + SETTINGS.readInterval)) { choose(node) }
@@ -293,6 +327,12 @@
         val SETTINGS = SourceScheduleSettings()
         val WARM_UP = 5.seconds
         const val START_STEPS = 400
+
+        /** The time in which all nodes have read the platform once. */
+        val START_TIME = 1.seconds
+
+        /** One node in so many has a fast link, where there are any. */
+        const val FAST_INTERVAL = 8
         val PLATFORM_TIME = 5.milliseconds
         val LATENCY = 1.milliseconds
 
--- a/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
+++ b/kernel/src/test/kotlin/org/celeryusher/kernel/distribution/ConvergenceReplayTest.kt
@@ -47,6 +47,44 @@
         }
     }
 
+    /** Guards against readers on slow links, whose data grows old with each document while nodes with fast links only follow. */
+    @Test
+    fun theNodesWithFastLinksReadThePlatform() {
+        val faults = ArrayList<String>()
+        for (nodes in listOf(79, 300)) {
+            for (isKilled in listOf(false, true)) {
+                val replay = mixedReplayOf(nodes, fastMegabitsPerSecond = 140.0)
+                if (isKilled) replay.killFastReader(at = 12.seconds)
+                replay.play(versions = 36, interval = 830.milliseconds, rest = TARGET)
+                val readers = replay.mostReaders(STEADY)
+                val isGood =
+                    replay.oldestReaderData <= READER_DATA &&
+                        replay.longestLag <= (if (isKilled) LAG_AFTER_KILLS else LAG) &&
+                        replay.longestDelay <= TARGET &&
+                        readers <= if (isKilled) 4 else 3
+                val figures =
+                    "$nodes nodes, one killed: $isKilled: $readers readers within a second, data of one ${replay.oldestReaderData} old, " +
+                        "lag ${replay.longestLag}, delay ${replay.longestDelay}"
+                if (!isGood) faults += figures
+            }
+        }
+        assertTrue(faults.isEmpty(), faults.joinToString("\n"))
+    }
+
+    private fun mixedReplayOf(
+        nodes: Int,
+        fastMegabitsPerSecond: Double?,
+    ) = ConvergenceReplay(
+        nodes,
+        megabitsPerSecond = 7.0,
+        documentBytes = 270_000,
+        compressedBytes = 22_000,
+        changeBytes = 200,
+        fastMegabitsPerSecond,
+        readsCompletely = true,
+        freeShare = 0.4,
+    )
+
     private fun replayOf(nodes: Int) =
         ConvergenceReplay(nodes, megabitsPerSecond = 7.0, documentBytes = 270_000, compressedBytes = 22_000, changeBytes = 200)
 
@@ -54,6 +92,12 @@
         val LAG = 1.seconds
         val LAG_AFTER_KILLS = 2.seconds
 
+        /** The age of the data of a reader up to which all nodes follow it. */
+        val READER_DATA = SourceScheduleSettings().maximumDataAge
+
+        /** The time from which on the number of readers counts. */
+        val STEADY = 5.seconds
+
         /** The time that the deployments allow between the publication of a version and its use by all nodes. */
         val TARGET = 2_500.milliseconds
     }
