Read the size of the document without the lock of the relay

By the threads: an answer to a query holds the lock of SourceRelay and asks whether the platform serves this node, which takes the lock of the schedule; the follower held that one and asked for the size of the document, which took the lock of the relay. A node in this state neither follows nor answers queries any more. The size is now read from a volatile field.

--- a/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
+++ b/node/src/main/kotlin/org/celeryusher/node/call/SourceRelay.kt
@@ -52,6 +52,8 @@
     private val journal = ServerListJournal()
     private val changes = MutableStateFlow(0L)
     private var position = StorePosition.START
+
+    @Volatile
     private var published: Published? = null
     private val history = ChangeHistory()
     private var evacuations: EvacuationSet? = null
@@ -72,7 +74,7 @@
     var configurationHeardAt: () -> Moment = { Moment.DISTANT_PAST }
 
     /** The size of the configuration in force as it was published, or null before the first one. */
-    val documentBytes: Int? @Synchronized get() = published?.size
+    val documentBytes: Int? get() = published?.size
 
     /** Returns the limits of all instances that are known to decline, if this node declines to be asked, or null. */
     @Volatile
